--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"sorrellane.example/sorrellane/balance"
+	"lapislever/balance"
 )
 
 // A host loads the module, hands it a list and a query, reports the outcome of each attempt and carries out
--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -9,8 +9,8 @@
 	"io"
 	"os"
 
-	"sorrellane.example/sorrellane/balance"
-	"sorrellane.example/sorrellane/internal/wire"
+	"lapislever/balance"
+	"lapislever/internal/wire"
 )
 
 func main() {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"strings"
 
-	"sorrellane.example/sorrellane/balance"
+	"lapislever/balance"
 )
 
 // params looks settings up by path and keeps the first failure.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 	"io"
 	"math"
 
-	"sorrellane.example/sorrellane/balance"
+	"lapislever/balance"
 )
 
 // Codes of the events in a batch.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,7 +8,7 @@
 	"strings"
 	"testing"
 
-	"sorrellane.example/sorrellane/balance"
+	"lapislever/balance"
 )
 
 // recorder keeps what the decoder hands over.
