--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,679 @@
+// Package core holds the one goroutine that owns the decision module, and with it each query's life and
+// values. Fronts hand it queries and backends hand it outcomes, all through one bounded queue; it steps the
+// module and carries out what the module says. It must never know a wire: what a query looks like to its
+// client and a part to its server is behind the interfaces that this file defines. It must never decide
+// either, beyond the bounds that the settings place on it.
+package core
+
+import (
+	"container/heap"
+	"log/slog"
+	"math"
+	"time"
+
+	"lapislever/balance"
+)
+
+// Sizes of the core.
+const (
+	queueSize    = 4096
+	maxBatch     = 1024                   // events of one Step
+	guardSlack   = 10 * time.Millisecond  // past its time a query is ended without the module
+	fullAdvice   = 250 * time.Millisecond // when to come back after the queue or the table was full
+	numberLimit  = 1 << 24                // a query's number must be exact as a float32
+	silentGrowth = 1024                   // pending actions that a buffer keeps for the next Step
+)
+
+// Ending is the kind of a final answer.
+type Ending uint8
+
+// The kinds of final answer.
+const (
+	Answered Ending = iota
+	Refused
+	Failed
+)
+
+// Value is what a server gave for a part.
+type Value struct {
+	Shard int
+	Body  []byte
+	Data  any // what a backend has made of it, for its own front
+}
+
+// Final is the one final answer of a query.
+type Final struct {
+	Ending     Ending
+	Whole      bool
+	Values     []Value       // in the order of the parts; those that are in
+	RetryAfter time.Duration // of a refusal: when to come back
+	Overdue    bool          // the time was over before there was a decision
+}
+
+// Client hears the final answer of its query, exactly once, and must not block.
+type Client interface {
+	Final(Final)
+}
+
+// PartSpec is one part of a query as its front describes it.
+type PartSpec struct {
+	Shard  int
+	Weight float64
+	Hint   balance.Micros
+	Key    uint64
+}
+
+// Query is one query as its front hands it over. Nothing of it may be changed afterwards.
+type Query struct {
+	Name     string // what its parts are named by on a wire; unique among those that are open
+	Class    int
+	Tenant   int
+	Deadline time.Time // when the client gives this try up
+	Repeat   bool
+	Key      string // idempotency key
+	Text     []byte // what each part carries
+	Parts    []PartSpec
+	Client   Client
+	Via      Backend // takes the parts to their servers
+
+	id       uint32
+	number   float32
+	parts    []*part
+	open     bool
+	overdue  bool
+	deadline balance.Micros
+}
+
+type part struct {
+	q     *Query
+	spec  *PartSpec
+	id    uint32
+	tries []*Attempt
+	live  int
+	value *Value
+	over  bool
+}
+
+// Attempt is one send of a part. Backends keep the pointer and hand it back with the outcome.
+type Attempt struct {
+	Query   *Query
+	Shard   int
+	Replica balance.ReplicaID
+	Timeout time.Duration // how long the core will wait
+
+	p      *part
+	number int
+	sent   balance.Micros
+	over   bool
+}
+
+// Backend takes attempts to servers. The core's goroutine calls it: no method may block, none may queue an
+// event from inside the call.
+type Backend interface {
+	// Send passes on attempts that share a call. It returns false where they cannot even be queued; they
+	// have then never run.
+	Send(to balance.ReplicaID, call []*Attempt) bool
+	// Withdraw gives an attempt up. It returns true where it is certain that it never ran.
+	Withdraw(a *Attempt) bool
+	// Probe looks at a server; the outcome comes as ProbeDone.
+	Probe(to balance.ReplicaID) bool
+	// CloseIdle closes connections that carry nothing.
+	CloseIdle(to balance.ReplicaID)
+	// Stop withdraws what is queued for a server and not begun, and returns it.
+	Stop(to balance.ReplicaID) []*Attempt
+}
+
+// Peers carries messages to other coordinators.
+type Peers interface {
+	Tell(to uint32, text string)
+}
+
+// Lister asks discovery, where the list does not come by itself.
+type Lister interface {
+	Watch(on bool)
+	Fetch()
+}
+
+// Event is something that sockets have to say. The types below are all there are.
+type Event interface{ isEvent() }
+
+// Outcome tells how an attempt ended.
+type Outcome struct {
+	Attempt *Attempt
+	Outcome balance.Outcome
+	Report  []float32
+	Value   Value
+}
+
+// Gone tells that the client of a query has left.
+type Gone struct{ Query *Query }
+
+// Listed brings news of the servers.
+type Listed struct {
+	Mode     balance.ListMode
+	Replicas []balance.Replica
+}
+
+// ProbeDone tells how a probe ended.
+type ProbeDone struct {
+	Replica balance.ReplicaID
+	Outcome balance.Outcome
+	Elapsed time.Duration
+	Report  []float32
+}
+
+// PeerMessage is a message of another coordinator.
+type PeerMessage struct {
+	From uint32
+	Data []byte
+}
+
+// stopping tells that this instance ends: no query may be held beyond until.
+type stopping struct{ until time.Time }
+
+func (*Query) isEvent()      {}
+func (Outcome) isEvent()     {}
+func (Gone) isEvent()        {}
+func (Listed) isEvent()      {}
+func (ProbeDone) isEvent()   {}
+func (PeerMessage) isEvent() {}
+func (stopping) isEvent()    {}
+
+// Config is what a core is made of.
+type Config struct {
+	Settings balance.Settings
+	Seed     uint64
+	Backends []Backend
+	Peers    Peers
+	Lister   Lister
+	Log      *slog.Logger
+	// Listed is called after the first Step that knew a server.
+	Listed func()
+}
+
+// Core is the owner of the module.
+type Core struct {
+	cfg    Config
+	module *balance.Balancer
+	queue  chan Event
+	done   chan struct{}
+	quit   chan struct{}
+	epoch  time.Time
+	base   balance.Micros
+
+	// What follows belongs to the goroutine of Run alone.
+	now      balance.Micros
+	events   []balance.Event
+	actions  []balance.Action
+	sends    []*Attempt
+	timers   timers
+	wakeAt   balance.Micros // earliest wake-up that was asked for; 0: none
+	queries  map[uint32]*Query
+	parts    map[uint32]*part
+	names    map[string]*Query
+	numbers  map[float32]bool
+	nextID   uint32
+	nextNum  uint32
+	held     int // queries and parts
+	until    balance.Micros
+	sawList  bool
+	idle     chan struct{} // closed once nothing is open while stopping
+	idleDone bool
+}
+
+// New returns a core whose module starts now.
+func New(cfg Config) (*Core, error) {
+	m, err := balance.New(cfg.Settings, cfg.Seed)
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	return &Core{
+		cfg: cfg, module: m, queue: make(chan Event, queueSize), done: make(chan struct{}),
+		quit: make(chan struct{}), idle: make(chan struct{}),
+		epoch: now, base: now.UnixMicro(), queries: map[uint32]*Query{}, parts: map[uint32]*part{},
+		names: map[string]*Query{}, numbers: map[float32]bool{},
+	}, nil
+}
+
+// clock is the module's time: Unix microseconds at the start, and monotonic from there.
+func (c *Core) clock(t time.Time) balance.Micros {
+	return c.base + t.Sub(c.epoch).Microseconds()
+}
+
+// Post queues an event and waits for room in the queue, so that a socket that brings more than the module
+// takes is read no further. It must not be called from inside a Backend's methods.
+func (c *Core) Post(e Event) {
+	select {
+	case c.queue <- e:
+	case <-c.done:
+	}
+}
+
+// Submit queues a query. It returns false where the queue is full; the query was then not taken.
+func (c *Core) Submit(q *Query) bool {
+	select {
+	case c.queue <- q:
+		return true
+	default:
+		return false
+	}
+}
+
+// FullAdvice is when to come back where there was no room.
+func (c *Core) FullAdvice() time.Duration { return fullAdvice }
+
+// Finish tells the module that this instance ends at the time given, and returns a channel that is closed
+// once no query is open.
+func (c *Core) Finish(until time.Time) <-chan struct{} {
+	c.Post(stopping{until: until})
+	return c.idle
+}
+
+// Close ends Run.
+func (c *Core) Close() { close(c.quit) }
+
+// timer is a moment at which the core has to look at an attempt or at a query.
+type timer struct {
+	at balance.Micros
+	a  *Attempt
+	q  *Query
+}
+
+type timers []timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].at < t[j].at }
+func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	old := *t
+	x := old[len(old)-1]
+	old[len(old)-1] = timer{}
+	*t = old[:len(old)-1]
+	return x
+}
+
+// Run owns the module until Close. One Step takes all that is queued, and there is at most one a tick.
+func (c *Core) Run() {
+	defer close(c.done)
+	tick := time.Duration(c.cfg.Settings.Tick) * time.Microsecond
+	alarm := time.NewTimer(time.Hour)
+	defer alarm.Stop()
+	last := time.Time{}
+	for {
+		// Wait for something to do.
+		if len(c.events) == 0 {
+			if at := c.nextTime(); at > 0 {
+				alarm.Reset(time.Duration(at-c.clock(time.Now())) * time.Microsecond)
+			} else {
+				alarm.Reset(time.Hour)
+			}
+			select {
+			case e := <-c.queue:
+				c.take(e)
+			case <-alarm.C:
+			case <-c.quit:
+				return
+			}
+		}
+		// At most one Step a tick: what comes until then goes into the same one.
+		if wait := tick - time.Since(last); wait > 0 {
+			alarm.Reset(wait)
+			for waiting := true; waiting; {
+				in := c.queue
+				if len(c.events) >= maxBatch {
+					in = nil
+				}
+				select {
+				case e := <-in:
+					c.take(e)
+				case <-alarm.C:
+					waiting = false
+				case <-c.quit:
+					return
+				}
+			}
+		}
+		for more := true; more && len(c.events) < maxBatch; {
+			select {
+			case e := <-c.queue:
+				c.take(e)
+			default:
+				more = false
+			}
+		}
+		last = time.Now()
+		c.step(c.clock(last))
+	}
+}
+
+// nextTime is the next moment at which there is something to do; 0: none.
+func (c *Core) nextTime() balance.Micros {
+	at := c.wakeAt
+	if len(c.timers) > 0 && (at == 0 || c.timers[0].at < at) {
+		at = c.timers[0].at
+	}
+	return at
+}
+
+// take turns what sockets said into the module's events.
+func (c *Core) take(e Event) {
+	switch e := e.(type) {
+	case *Query:
+		c.begin(e)
+	case Outcome:
+		c.settle(e.Attempt, e.Outcome, e.Report, &e.Value)
+	case Gone:
+		if e.Query.open {
+			c.events = append(c.events, balance.Event{Kind: balance.ClientGone, ID: e.Query.id})
+			c.end(e.Query)
+		}
+	case Listed:
+		for i := range e.Replicas { // told to stop: what is queued for it must not go out any more
+			if r := &e.Replicas[i]; r.State != balance.Ready {
+				c.stopSends(r.ID)
+			}
+		}
+		c.sawList = c.sawList || len(e.Replicas) > 0
+		c.events = append(c.events, balance.Event{Kind: balance.List, Mode: e.Mode, Replicas: e.Replicas})
+	case ProbeDone:
+		c.events = append(c.events, balance.Event{Kind: balance.ProbeResult, Replica: e.Replica,
+			Outcome: e.Outcome, Elapsed: e.Elapsed.Microseconds(), Report: e.Report})
+	case PeerMessage:
+		c.events = append(c.events, balance.Event{Kind: balance.Message, From: e.From, Data: e.Data})
+	case stopping:
+		c.until = c.clock(e.until)
+		for _, q := range c.queries {
+			heap.Push(&c.timers, timer{at: min(q.deadline, c.until), q: q})
+		}
+	}
+}
+
+func (c *Core) stopSends(to balance.ReplicaID) {
+	for _, b := range c.cfg.Backends {
+		for _, a := range b.Stop(to) {
+			c.settle(a, balance.NotSent, nil, nil)
+		}
+	}
+}
+
+// begin takes a query and gives the module what it needs to know of it.
+func (c *Core) begin(q *Query) {
+	if c.names[q.Name] != nil { // its parts could not be told from those of the other one
+		q.Client.Final(Final{Ending: Failed})
+		return
+	}
+	if most := c.cfg.Settings.MaxOpen; most > 0 && c.held+1+len(q.Parts) > most {
+		q.Client.Final(Final{Ending: Refused, RetryAfter: fullAdvice})
+		return
+	}
+	q.open, q.deadline = true, c.clock(q.Deadline)
+	if c.until > 0 {
+		q.deadline = min(q.deadline, c.until)
+	}
+	for c.nextNum++; c.numbers[float32(c.nextNum%numberLimit)]; c.nextNum++ {
+	}
+	q.number = float32(c.nextNum % numberLimit)
+	c.numbers[q.number] = true
+	q.id = c.freshID()
+	c.queries[q.id], c.names[q.Name] = q, q
+	total, hints, all := 0.0, balance.Micros(0), true
+	for i := range q.Parts {
+		total += q.Parts[i].Weight
+		hints += q.Parts[i].Hint
+		all = all && q.Parts[i].Hint > 0
+	}
+	if !all {
+		hints = 0
+	}
+	c.events = append(c.events, balance.Event{Kind: balance.Query, ID: q.id, Number: q.number, Class: q.Class,
+		Tenant: q.Tenant, Weight: float64(len(q.Parts)), Hint: hints, Deadline: q.deadline, Repeat: q.Repeat})
+	for i := range q.Parts {
+		s := &q.Parts[i]
+		p := &part{q: q, spec: s, id: c.freshID()}
+		q.parts = append(q.parts, p)
+		c.parts[p.id] = p
+		c.events = append(c.events, balance.Event{Kind: balance.Part, ID: p.id, Number: q.number, Class: q.Class,
+			Tenant: q.Tenant, Shard: s.Shard, Weight: s.Weight / total, Hint: s.Hint, Key: s.Key,
+			Deadline: q.deadline, Repeat: q.Repeat})
+	}
+	c.held += 1 + len(q.Parts)
+	heap.Push(&c.timers, timer{at: q.deadline, q: q})
+}
+
+// freshID returns an id that nothing open bears.
+func (c *Core) freshID() uint32 {
+	for {
+		c.nextID++
+		if c.queries[c.nextID] == nil && c.parts[c.nextID] == nil {
+			return c.nextID
+		}
+	}
+}
+
+// settle books the end of an attempt and tells the module. Only the first end counts: what comes after a
+// time-out or a withdrawal is late, and dropped.
+func (c *Core) settle(a *Attempt, o balance.Outcome, report []float32, v *Value) {
+	if a.over {
+		return
+	}
+	a.over = true
+	p := a.p
+	p.live--
+	if o == balance.OK && !p.over && v != nil {
+		v.Shard = a.Shard
+		p.value, p.over = v, true
+	}
+	c.events = append(c.events, balance.Event{Kind: balance.Result, ID: p.id, Attempt: a.number,
+		Closed: p.over || !p.q.open, Outcome: o, Replica: a.Replica, Elapsed: c.now - a.sent, Report: report})
+	c.forget(p)
+}
+
+// forget drops a part that nothing more can come of.
+func (c *Core) forget(p *part) {
+	if !p.q.open && p.live == 0 {
+		delete(c.parts, p.id)
+	}
+}
+
+// step runs the module once and carries out its actions.
+func (c *Core) step(now balance.Micros) {
+	c.now = now
+	for len(c.timers) > 0 && c.timers[0].at <= now {
+		t := heap.Pop(&c.timers).(timer)
+		switch {
+		case t.a != nil && !t.a.over:
+			o := balance.TimedOut
+			if t.a.Query.Via.Withdraw(t.a) {
+				o = balance.NotSent
+			}
+			c.settle(t.a, o, nil, nil)
+		case t.q != nil && t.q.open && now >= c.guardAt(t.q):
+			// The module answers in time by itself; this guards the rule against whatever keeps it from
+			// that, such as a clock that stood still: an overdue query gets its answer all the same.
+			t.q.overdue = true
+		case t.q != nil && t.q.open:
+			heap.Push(&c.timers, timer{at: c.guardAt(t.q), q: t.q})
+		}
+	}
+	if c.wakeAt > 0 && c.wakeAt <= now {
+		c.wakeAt = 0
+		c.events = append(c.events, balance.Event{Kind: balance.Awake})
+	}
+	events := c.events
+	c.actions = c.module.Step(now, events, c.actions[:0])
+	clear(events)
+	c.events = events[:0]
+	c.carryOut()
+	if c.sawList && c.cfg.Listed != nil {
+		c.cfg.Listed()
+		c.cfg.Listed = nil
+	}
+	for _, q := range c.queries {
+		if q.overdue || c.until > 0 && now >= c.until {
+			c.cfg.Log.Error("query ended without a decision", "query", q.Name)
+			c.events = append(c.events, balance.Event{Kind: balance.ClientGone, ID: q.id})
+			c.final(q, Final{Ending: Failed, Overdue: true})
+		}
+	}
+	if c.until > 0 && len(c.queries) == 0 && !c.idleDone {
+		c.idleDone = true
+		close(c.idle)
+	}
+}
+
+func (c *Core) guardAt(q *Query) balance.Micros {
+	at := q.deadline
+	if c.until > 0 {
+		at = min(at, c.until)
+	}
+	return at + guardSlack.Microseconds()
+}
+
+// carryOut does what the module said, in its order, but for sends: those of this Step to one server go
+// together, in calls of as many parts as one may hold.
+func (c *Core) carryOut() {
+	for i := range c.actions {
+		a := &c.actions[i]
+		switch a.Kind {
+		case balance.Send:
+			c.send(a)
+		case balance.Cancel:
+			if p := c.parts[a.ID]; p != nil && a.Attempt >= 0 && a.Attempt < len(p.tries) {
+				if t := p.tries[a.Attempt]; !t.over {
+					o := balance.Cancelled
+					if c.withdraw(t) {
+						o = balance.NotSent
+					}
+					c.settle(t, o, nil, nil)
+				}
+			}
+		case balance.Answer:
+			if q := c.queries[a.ID]; q != nil {
+				f := Final{Ending: Answered, Whole: a.Whole}
+				for _, p := range q.parts {
+					if p.value != nil {
+						f.Values = append(f.Values, *p.value)
+					}
+				}
+				c.final(q, f)
+			}
+		case balance.Refuse, balance.Fail:
+			if q := c.queries[a.ID]; q != nil {
+				f := Final{Ending: Failed}
+				if a.Kind == balance.Refuse {
+					f = Final{Ending: Refused, RetryAfter: time.Duration(a.After) * time.Microsecond}
+				}
+				c.final(q, f)
+			}
+		case balance.Probe:
+			sent := false
+			for _, b := range c.cfg.Backends {
+				sent = sent || b.Probe(a.Replica)
+			}
+			if !sent {
+				c.events = append(c.events, balance.Event{Kind: balance.ProbeResult, Replica: a.Replica,
+					Outcome: balance.NoConnection})
+			}
+		case balance.Wake:
+			if at := c.now + max(1, a.After); c.wakeAt == 0 || at < c.wakeAt {
+				c.wakeAt = at
+			}
+		case balance.Watch, balance.Unwatch:
+			if c.cfg.Lister != nil {
+				c.cfg.Lister.Watch(a.Kind == balance.Watch)
+			}
+		case balance.Fetch:
+			if c.cfg.Lister != nil {
+				c.cfg.Lister.Fetch()
+			}
+		case balance.Note:
+			c.cfg.Log.Info("module", "note", a.Text)
+		case balance.Tell:
+			if c.cfg.Peers != nil {
+				c.cfg.Peers.Tell(a.To, a.Text)
+			}
+		case balance.Close:
+			for _, b := range c.cfg.Backends {
+				b.CloseIdle(a.Replica)
+			}
+		}
+	}
+	c.flush()
+}
+
+// withdraw gives an attempt up. One of this very Step that has not been handed over is just taken out.
+func (c *Core) withdraw(a *Attempt) bool {
+	for i, s := range c.sends {
+		if s == a {
+			c.sends = append(c.sends[:i], c.sends[i+1:]...)
+			return true
+		}
+	}
+	return a.Query.Via.Withdraw(a)
+}
+
+// send makes an attempt and keeps it until the Step's other actions are read.
+func (c *Core) send(act *balance.Action) {
+	p := c.parts[act.ID]
+	if p == nil || !p.q.open || p.over {
+		c.cfg.Log.Error("module sent a part that is over", "id", act.ID)
+		return
+	}
+	after := min(max(act.After, 0), math.MaxInt32)
+	a := &Attempt{Query: p.q, Shard: p.spec.Shard, Replica: act.Replica, p: p, number: len(p.tries), sent: c.now}
+	until := min(c.now+after, p.q.deadline)
+	if after == 0 {
+		until = p.q.deadline
+	}
+	a.Timeout = time.Duration(max(0, until-c.now)) * time.Microsecond
+	p.tries = append(p.tries, a)
+	p.live++
+	heap.Push(&c.timers, timer{at: until, a: a})
+	c.sends = append(c.sends, a)
+}
+
+// flush hands the sends of this Step to their backends.
+func (c *Core) flush() {
+	for len(c.sends) > 0 {
+		first := c.sends[0]
+		var call, rest []*Attempt
+		for _, a := range c.sends {
+			if len(call) < max(1, c.cfg.Settings.BatchMax) && a.Replica == first.Replica &&
+				a.Query.Via == first.Query.Via {
+				call = append(call, a)
+			} else {
+				rest = append(rest, a)
+			}
+		}
+		c.sends = rest
+		if !first.Query.Via.Send(first.Replica, call) {
+			for _, a := range call {
+				c.settle(a, balance.NoConnection, nil, nil)
+			}
+		}
+	}
+}
+
+// final gives a query its final answer. It is the only place that does, and a query is open only once.
+func (c *Core) final(q *Query, f Final) {
+	if !q.open {
+		return
+	}
+	c.end(q)
+	q.Client.Final(f)
+}
+
+// end forgets a query. What it still has out is withdrawn by the module or runs into its time-out.
+func (c *Core) end(q *Query) {
+	q.open = false
+	delete(c.queries, q.id)
+	delete(c.names, q.Name)
+	delete(c.numbers, q.number)
+	c.held -= 1 + len(q.parts)
+	for _, p := range q.parts {
+		p.value = nil
+		c.forget(p)
+	}
+}
--- /dev/null
+++ b/internal/net/conn.go
@@ -0,0 +1,535 @@
+// Package net owns sockets and bytes: listeners, connections with one ring buffer a direction, the budget of
+// descriptors, and HTTP/1.1 on net/textproto. It must never decide anything: it does not know the module, the
+// classes or what a body means, and no goroutine of it ever runs the module.
+//
+// This file holds the ring buffer, the descriptor budget and the server side of a connection; http.go holds
+// the messages and the client side.
+package net
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Sizes and limits of the network code.
+const (
+	MaxBody      = 64 << 10 // a body that the protocol allows
+	MaxHead      = 16 << 10 // a request or status line with its headers
+	firstRing    = 1 << 10
+	idleLimit    = 3 * time.Minute // a client connection between requests
+	requestLimit = 10 * time.Second
+	replyLimit   = 5 * time.Second
+	lingerLimit  = 500 * time.Millisecond
+)
+
+// ErrFull tells that a ring buffer holds as much as it may.
+var ErrFull = errors.New("the buffer is full")
+
+// Ring is a ring buffer that grows by doubling up to its limit. It is not safe for concurrent use.
+type Ring struct {
+	buf     []byte
+	at, n   int
+	ceiling int
+}
+
+// NewRing returns an empty ring that will hold limit bytes at most.
+func NewRing(limit int) *Ring { return &Ring{ceiling: limit} }
+
+// Len is the number of bytes held.
+func (r *Ring) Len() int { return r.n }
+
+// Free returns a stretch to read into; Grew must be told how much of it was filled. It is nil when full. Only
+// here does an emptied ring start over and give memory back: Discard may run while a read into Free is under
+// way, and must not move the place that it fills.
+func (r *Ring) Free() []byte {
+	if r.n == 0 {
+		if r.at = 0; len(r.buf) > 16*firstRing {
+			r.buf = nil
+		}
+	}
+	if r.n == len(r.buf) && !r.grow(r.n+1) {
+		return nil
+	}
+	end := r.at + r.n
+	if end >= len(r.buf) {
+		end -= len(r.buf)
+		return r.buf[end:r.at]
+	}
+	return r.buf[end:]
+}
+
+// Grew books n bytes that were filled into Free.
+func (r *Ring) Grew(n int) { r.n += n }
+
+func (r *Ring) grow(need int) bool {
+	if need <= len(r.buf) {
+		return true
+	}
+	if need > r.ceiling {
+		return false
+	}
+	size := max(firstRing, 2*len(r.buf))
+	for size < need {
+		size *= 2
+	}
+	fresh := make([]byte, min(size, r.ceiling))
+	r.copyOut(fresh[:r.n], 0)
+	r.buf, r.at = fresh, 0
+	return true
+}
+
+// copyOut copies the bytes from place skip on into p, which must be held.
+func (r *Ring) copyOut(p []byte, skip int) {
+	at := r.at + skip
+	if at >= len(r.buf) {
+		at -= len(r.buf)
+	}
+	n := copy(p, r.buf[at:])
+	copy(p[n:], r.buf)
+}
+
+// Write appends p whole, or nothing of it and ErrFull.
+func (r *Ring) Write(p []byte) (int, error) {
+	if !r.grow(r.n + len(p)) {
+		return 0, ErrFull
+	}
+	for left := p; len(left) > 0; {
+		n := copy(r.Free(), left)
+		r.n += n
+		left = left[n:]
+	}
+	return len(p), nil
+}
+
+// Read takes bytes out.
+func (r *Ring) Read(p []byte) (int, error) {
+	if r.n == 0 {
+		return 0, io.EOF
+	}
+	n := min(len(p), r.n)
+	r.copyOut(p[:n], 0)
+	r.Discard(n)
+	return n, nil
+}
+
+// Peek copies the bytes from place skip on without taking them, as many as there are and p holds.
+func (r *Ring) Peek(p []byte, skip int) int {
+	n := min(len(p), r.n-skip)
+	if n <= 0 {
+		return 0
+	}
+	r.copyOut(p[:n], skip)
+	return n
+}
+
+// First returns the first stretch of what is held, without taking it.
+func (r *Ring) First() []byte { return r.buf[r.at:min(len(r.buf), r.at+r.n)] }
+
+// Discard forgets the first n bytes.
+func (r *Ring) Discard(n int) {
+	r.n -= n
+	if r.at += n; r.at > 0 && r.at >= len(r.buf) {
+		r.at -= len(r.buf)
+	}
+}
+
+// Truncate keeps the first n bytes and forgets what was written after them.
+func (r *Ring) Truncate(n int) { r.n = min(r.n, n) }
+
+// Index is the place of the first sep, or -1.
+func (r *Ring) Index(sep []byte) int {
+	first := r.First()
+	if i := bytes.Index(first, sep); i >= 0 {
+		return i
+	}
+	if len(first) == r.n {
+		return -1
+	}
+	all := make([]byte, r.n)
+	r.copyOut(all, 0)
+	return bytes.Index(all, sep)
+}
+
+// Budget counts descriptors that clients and servers share. A part of it is kept for servers, so that a crowd
+// of clients cannot take away the means to serve any of them.
+type Budget struct {
+	used, most, kept atomic.Int64
+}
+
+// NewBudget returns a budget of most descriptors with kept of them closed to clients.
+func NewBudget(most, kept int) *Budget {
+	b := &Budget{}
+	b.most.Store(int64(most))
+	b.kept.Store(int64(kept))
+	return b
+}
+
+func (b *Budget) take(least int64) bool {
+	for {
+		u := b.used.Load()
+		if u+least >= b.most.Load() {
+			return false
+		}
+		if b.used.CompareAndSwap(u, u+1) {
+			return true
+		}
+	}
+}
+
+// TakeServer takes one for a connection to a server.
+func (b *Budget) TakeServer() bool { return b.take(0) }
+
+// takeClient takes one for a client's connection.
+func (b *Budget) takeClient() bool { return b.take(b.kept.Load()) }
+
+// Release gives one back.
+func (b *Budget) Release() { b.used.Add(-1) }
+
+// Exchange is one request that waits for its one reply.
+type Exchange struct {
+	reply chan Response
+	once  atomic.Bool
+}
+
+// Reply hands over the reply. It never blocks; any reply but the first is dropped.
+func (x *Exchange) Reply(r Response) {
+	if x.once.CompareAndSwap(false, true) {
+		x.reply <- r
+	}
+}
+
+// Handler takes a request and returns what to call should the client be gone before the reply, or nil. It
+// must not block; the reply may come at any time from any goroutine.
+type Handler func(r *Request, x *Exchange) (gone func())
+
+// Server accepts clients' connections and serves HTTP/1.1 on them.
+type Server struct {
+	l       net.Listener
+	handle  Handler
+	budget  *Budget
+	log     *slog.Logger
+	mu      sync.Mutex
+	conns   map[*serverConn]struct{}
+	closing atomic.Bool
+	spare   atomic.Int64 // connections beyond the budget that are just being refused
+	wg      sync.WaitGroup
+}
+
+// Listen starts to listen on an address and on nothing else.
+func Listen(addr string, budget *Budget, log *slog.Logger, h Handler) (*Server, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return &Server{l: l, handle: h, budget: budget, log: log, conns: map[*serverConn]struct{}{}}, nil
+}
+
+// Addr is the address listened on.
+func (s *Server) Addr() string { return s.l.Addr().String() }
+
+// Serve accepts until the listener is closed.
+func (s *Server) Serve() {
+	for {
+		c, err := s.l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // out of descriptors or the like: it passes
+			s.log.Warn("accept failed", "err", err)
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		held := s.budget.takeClient()
+		if !held && s.evict() {
+			held = s.budget.takeClient()
+		}
+		if !held && s.spare.Add(1) > 16 {
+			s.spare.Add(-1)
+			s.log.Warn("connection closed: too many are open", "client", c.RemoteAddr())
+			_ = c.Close()
+			continue
+		}
+		sc := &serverConn{s: s, c: c, in: NewRing(MaxHead + MaxBody), out: NewRing(MaxBody), held: held,
+			more: make(chan struct{}, 1), idle: time.Now(), waiting: true}
+		s.mu.Lock()
+		s.conns[sc] = struct{}{}
+		s.mu.Unlock()
+		s.wg.Add(2)
+		go sc.fill()
+		go sc.serve()
+	}
+}
+
+// evict closes the client connection that has been without a request for the longest time, as the protocol
+// allows, so that a crowd of idle ones does not keep new clients out.
+func (s *Server) evict() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var oldest *serverConn
+	for c := range s.conns {
+		if c.waitsIdle() && (oldest == nil || c.idle.Before(oldest.idle)) {
+			oldest = c
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	oldest.shut()
+	delete(s.conns, oldest)
+	oldest.giveBack()
+	return true
+}
+
+// Finish ends the server: from now on every reply ends its connection, and idle ones are closed.
+func (s *Server) Finish() {
+	s.closing.Store(true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.waitsIdle() {
+			c.shut()
+		}
+	}
+}
+
+// StopListening closes the listener; connections go on.
+func (s *Server) StopListening() { _ = s.l.Close() }
+
+// Wait waits until every connection has ended, or until the time is over.
+func (s *Server) Wait(most time.Duration) bool {
+	done := make(chan struct{})
+	go func() { s.wg.Wait(); close(done) }()
+	select {
+	case <-done:
+		return true
+	case <-time.After(most):
+		return false
+	}
+}
+
+// serverConn is a client's connection: fill reads into its ring, serve takes requests out one by one.
+type serverConn struct {
+	s       *Server
+	c       net.Conn
+	mu      sync.Mutex // guards in, err, at, waiting, idle
+	in, out *Ring
+	more    chan struct{}
+	err     error
+	at      time.Time // of the last byte read
+	waiting bool      // between requests
+	idle    time.Time
+	held    bool // has a place in the budget; guarded by the server's mu
+	back    bool
+}
+
+// waitsIdle tells that nothing of a request has been read. The server's mu is held.
+func (c *serverConn) waitsIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.waiting && c.in.Len() == 0
+}
+
+func (c *serverConn) shut() { _ = c.c.Close() }
+
+// giveBack returns the place in the budget, once.
+func (c *serverConn) giveBack() {
+	if c.back {
+		return
+	}
+	c.back = true
+	if c.held {
+		c.s.budget.Release()
+	} else {
+		c.s.spare.Add(-1)
+	}
+}
+
+func (c *serverConn) signal() {
+	select {
+	case c.more <- struct{}{}:
+	default:
+	}
+}
+
+// fill reads what comes, also while a request waits for its reply: only so is a client's end seen at once.
+func (c *serverConn) fill() {
+	defer c.s.wg.Done()
+	for {
+		c.mu.Lock()
+		free := c.in.Free()
+		c.mu.Unlock()
+		if free == nil { // far more than a request: let serve make room or give up on it
+			time.Sleep(10 * time.Millisecond)
+			c.mu.Lock()
+			ended := c.err != nil
+			c.mu.Unlock()
+			if ended {
+				return
+			}
+			continue
+		}
+		n, err := c.c.Read(free)
+		c.mu.Lock()
+		c.in.Grew(n)
+		c.at = time.Now()
+		if err != nil && c.err == nil {
+			c.err = err
+		}
+		ended := c.err != nil
+		c.mu.Unlock()
+		c.signal()
+		if ended {
+			return
+		}
+	}
+}
+
+// next waits for a whole request.
+func (c *serverConn) next() (*Request, error) {
+	c.mu.Lock()
+	c.waiting, c.idle = true, time.Now()
+	c.mu.Unlock()
+	var began time.Time
+	continued := false
+	timer := time.NewTimer(idleLimit)
+	defer timer.Stop()
+	for {
+		c.mu.Lock()
+		if began.IsZero() && c.in.Len() > 0 {
+			began = time.Now()
+			timer.Reset(requestLimit)
+		}
+		req, wants, err := parseRequest(c.in, c.at)
+		gone := c.err
+		if req != nil {
+			c.waiting = false
+		}
+		c.mu.Unlock()
+		switch {
+		case err != nil:
+			return nil, err
+		case req != nil:
+			return req, nil
+		case gone != nil:
+			return nil, gone
+		}
+		if wants && !continued {
+			continued = true
+			if _, err := c.c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
+				return nil, err
+			}
+		}
+		select {
+		case <-c.more:
+		case <-timer.C:
+			if began.IsZero() {
+				return nil, io.EOF
+			}
+			return nil, &BadMessage{Status: 408, What: "the request did not come to its end in time"}
+		}
+	}
+}
+
+// serve takes one request after the other and writes its reply.
+func (c *serverConn) serve() {
+	defer c.s.wg.Done()
+	defer func() {
+		c.mu.Lock()
+		if c.err == nil {
+			c.err = net.ErrClosed
+		}
+		c.mu.Unlock()
+		c.shut()
+		c.s.mu.Lock()
+		delete(c.s.conns, c)
+		c.giveBack()
+		c.s.mu.Unlock()
+	}()
+	for {
+		req, err := c.next()
+		var bad *BadMessage
+		if errors.As(err, &bad) {
+			c.s.log.Warn("bad request", "client", c.c.RemoteAddr(), "why", bad.What)
+			_ = c.write(Response{Status: bad.Status, Body: []byte(bad.What + "\n")}, true, false)
+			c.linger()
+			return
+		}
+		if err != nil {
+			return
+		}
+		resp, ok := c.exchange(req)
+		if !ok {
+			return
+		}
+		end := req.Close || resp.Close || c.s.closing.Load() || !c.held
+		if c.write(resp, end, req.Method == "HEAD") != nil {
+			return
+		}
+		if end {
+			c.linger()
+			return
+		}
+	}
+}
+
+// exchange has a request handled and waits for its reply or for the end of the client.
+func (c *serverConn) exchange(req *Request) (Response, bool) {
+	x := &Exchange{reply: make(chan Response, 1)}
+	if !c.held {
+		return Response{Status: 503, Header: [][2]string{{"Retry-After", "1"}},
+			Body: []byte("too many connections\n")}, true
+	}
+	gone := c.s.handle(req, x)
+	for {
+		select {
+		case r := <-x.reply:
+			return r, true
+		case <-c.more:
+			c.mu.Lock()
+			err := c.err
+			c.mu.Unlock()
+			if err == nil {
+				continue
+			}
+			if gone != nil {
+				gone()
+			}
+			return Response{}, false
+		}
+	}
+}
+
+func (c *serverConn) write(r Response, end, headOnly bool) error {
+	_ = c.c.SetWriteDeadline(time.Now().Add(replyLimit))
+	return writeResponse(c.c, c.out, r, end, headOnly)
+}
+
+// linger lets the client read the reply before the connection goes: closing while bytes of the client lie
+// unread resets the connection, and a reset can overtake the reply.
+func (c *serverConn) linger() {
+	if t, ok := c.c.(*net.TCPConn); ok {
+		_ = t.CloseWrite()
+	}
+	timer := time.NewTimer(lingerLimit)
+	defer timer.Stop()
+	for {
+		c.mu.Lock()
+		c.in.Discard(c.in.Len())
+		err := c.err
+		c.mu.Unlock()
+		if err != nil {
+			return
+		}
+		select {
+		case <-c.more:
+		case <-timer.C:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/net/http.go
@@ -0,0 +1,471 @@
+package net
+
+// HTTP/1.1 messages on net/textproto, both sides: parsing out of a ring buffer, writing through one, and a
+// client for one connection. This file owns the syntax of messages; it must never know what they are for.
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// BadMessage is a message that cannot be used, with the status that its sender is told.
+type BadMessage struct {
+	Status int
+	What   string
+}
+
+func (e *BadMessage) Error() string { return e.What }
+
+func bad(status int, format string, args ...any) error {
+	return &BadMessage{Status: status, What: fmt.Sprintf(format, args...)}
+}
+
+// Request is a whole request. At is when its last byte was read.
+type Request struct {
+	Method string
+	Path   string
+	Query  string
+	Header textproto.MIMEHeader
+	Body   []byte
+	Close  bool
+	At     time.Time
+}
+
+// Response is a whole reply.
+type Response struct {
+	Status int
+	Type   string // content type; text/plain where empty
+	Header [][2]string
+	Body   []byte
+	Close  bool
+}
+
+// Reason is the phrase of a status.
+func Reason(status int) string {
+	switch status {
+	case 200:
+		return "OK"
+	case 400:
+		return "Bad Request"
+	case 404:
+		return "Not Found"
+	case 405:
+		return "Method Not Allowed"
+	case 408:
+		return "Request Timeout"
+	case 409:
+		return "Conflict"
+	case 411:
+		return "Length Required"
+	case 413:
+		return "Content Too Large"
+	case 415:
+		return "Unsupported Media Type"
+	case 422:
+		return "Unprocessable Content"
+	case 431:
+		return "Request Header Fields Too Large"
+	case 500:
+		return "Internal Server Error"
+	case 501:
+		return "Not Implemented"
+	case 502:
+		return "Bad Gateway"
+	case 503:
+		return "Service Unavailable"
+	case 504:
+		return "Gateway Timeout"
+	case 505:
+		return "HTTP Version Not Supported"
+	}
+	return "Status"
+}
+
+// readers are the small buffers that textproto reads heads through. They hold nothing between calls.
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, 512) }}
+
+var headEnd = []byte("\r\n\r\n")
+
+// parseHead reads the first line and the headers out of a head of size bytes, without taking them.
+func parseHead(in *Ring, size int) (string, textproto.MIMEHeader, error) {
+	head := make([]byte, size)
+	in.Peek(head, 0)
+	br := readers.Get().(*bufio.Reader)
+	defer readers.Put(br)
+	br.Reset(bytes.NewReader(head))
+	tp := textproto.NewReader(br)
+	line, err := tp.ReadLine()
+	if err != nil {
+		return "", nil, bad(400, "no first line")
+	}
+	h, err := tp.ReadMIMEHeader()
+	if err != nil {
+		return "", nil, bad(400, "malformed headers")
+	}
+	return line, h, nil
+}
+
+// parseRequest takes one whole request out of the ring. It returns nil while bytes are lacking; wants tells
+// that the client waits to be told to go on.
+func parseRequest(in *Ring, at time.Time) (req *Request, wants bool, err error) {
+	for in.Len() >= 2 { // empty lines before a request are to be skipped
+		var two [2]byte
+		if in.Peek(two[:], 0); two != [2]byte{'\r', '\n'} {
+			break
+		}
+		in.Discard(2)
+	}
+	end := in.Index(headEnd)
+	if end < 0 {
+		if in.Len() > MaxHead {
+			return nil, false, bad(431, "the head is larger than %d bytes", MaxHead)
+		}
+		return nil, false, nil
+	}
+	if end > MaxHead {
+		return nil, false, bad(431, "the head is larger than %d bytes", MaxHead)
+	}
+	line, h, err := parseHead(in, end+4)
+	if err != nil {
+		return nil, false, err
+	}
+	method, rest, ok1 := strings.Cut(line, " ")
+	target, proto, ok2 := strings.Cut(rest, " ")
+	if !ok1 || !ok2 || method == "" || target == "" || strings.ContainsAny(method, "\t\"(),/:;<=>?@[]{}") {
+		return nil, false, bad(400, "malformed request line")
+	}
+	if proto != "HTTP/1.1" && proto != "HTTP/1.0" {
+		if strings.HasPrefix(proto, "HTTP/") {
+			return nil, false, bad(505, "only HTTP/1.1 is spoken here")
+		}
+		return nil, false, bad(400, "malformed request line")
+	}
+	if proto == "HTTP/1.1" && len(h["Host"]) != 1 {
+		return nil, false, bad(400, "one Host header is needed")
+	}
+	body, taken, err := parseBody(in, end+4, h, false, MaxBody)
+	if err != nil {
+		return nil, false, err
+	}
+	if taken < 0 {
+		return nil, strings.EqualFold(h.Get("Expect"), "100-continue"), nil
+	}
+	in.Discard(taken)
+	if i := strings.Index(target, "://"); i > 0 && !strings.HasPrefix(target, "/") { // absolute form
+		if j := strings.IndexByte(target[i+3:], '/'); j >= 0 {
+			target = target[i+3+j:]
+		} else {
+			target = "/"
+		}
+	}
+	path, query, _ := strings.Cut(target, "?")
+	return &Request{Method: method, Path: path, Query: query, Header: h, Body: body, At: at,
+		Close: closes(h) || proto == "HTTP/1.0"}, false, nil
+}
+
+// closes tells that the sender ends the connection after this message.
+func closes(h textproto.MIMEHeader) bool {
+	for _, v := range h["Connection"] {
+		for _, token := range strings.Split(v, ",") {
+			if strings.EqualFold(strings.TrimSpace(token), "close") {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// parseBody copies the body that begins at place from. taken is where the message ends, or -1 while bytes are
+// lacking. A reply without a length runs until the connection ends, which toEnd stands for.
+func parseBody(in *Ring, from int, h textproto.MIMEHeader, toEnd bool, most int) (b []byte, taken int,
+	err error) {
+	codings, lengths := h["Transfer-Encoding"], h["Content-Length"]
+	switch {
+	case len(codings) > 0 && len(lengths) > 0: // two readers could see two different messages
+		return nil, 0, bad(400, "both a length and a transfer coding")
+	case len(codings) > 0:
+		if len(codings) != 1 || !strings.EqualFold(strings.TrimSpace(codings[0]), "chunked") {
+			return nil, 0, bad(501, "unknown transfer coding")
+		}
+		return parseChunks(in, from, most)
+	case len(lengths) > 0:
+		for _, l := range lengths {
+			if l != lengths[0] {
+				return nil, 0, bad(400, "lengths that differ")
+			}
+		}
+		n, err := strconv.ParseUint(lengths[0], 10, 63)
+		if err != nil {
+			return nil, 0, bad(400, "malformed length")
+		}
+		if n > uint64(most) {
+			return nil, 0, bad(413, "the body is larger than %d bytes", most)
+		}
+		if in.Len() < from+int(n) {
+			return nil, -1, nil
+		}
+		b = make([]byte, n)
+		in.Peek(b, from)
+		return b, from + int(n), nil
+	case toEnd:
+		if in.Len()-from > most {
+			return nil, 0, bad(413, "the body is larger than %d bytes", most)
+		}
+		return nil, -1, nil
+	}
+	return nil, from, nil
+}
+
+// parseChunks reads a chunked body.
+func parseChunks(in *Ring, from, most int) ([]byte, int, error) {
+	rest := make([]byte, in.Len()-from)
+	in.Peek(rest, from)
+	size := len(rest)
+	var body []byte
+	for {
+		i := bytes.Index(rest, []byte("\r\n"))
+		if i < 0 {
+			if len(rest) > 1024 {
+				return nil, 0, bad(400, "malformed chunk")
+			}
+			return nil, -1, nil
+		}
+		digits, _, _ := strings.Cut(string(rest[:i]), ";")
+		n, err := strconv.ParseUint(strings.TrimSpace(digits), 16, 31)
+		if err != nil {
+			return nil, 0, bad(400, "malformed chunk")
+		}
+		if len(body)+int(n) > most {
+			return nil, 0, bad(413, "the body is larger than %d bytes", most)
+		}
+		rest = rest[i+2:]
+		if n == 0 { // trailers, up to an empty line
+			for {
+				j := bytes.Index(rest, []byte("\r\n"))
+				if j < 0 {
+					if len(rest) > MaxHead {
+						return nil, 0, bad(431, "the trailers are too large")
+					}
+					return nil, -1, nil
+				}
+				rest = rest[j+2:]
+				if j == 0 {
+					return body, from + size - len(rest), nil
+				}
+			}
+		}
+		if len(rest) < int(n)+2 {
+			return nil, -1, nil
+		}
+		if rest[n] != '\r' || rest[n+1] != '\n' {
+			return nil, 0, bad(400, "malformed chunk")
+		}
+		body = append(body, rest[:n]...)
+		rest = rest[n+2:]
+	}
+}
+
+// ringWriter writes to a connection through its ring.
+type ringWriter struct {
+	w io.Writer
+	r *Ring
+}
+
+func (w *ringWriter) flush() error {
+	for w.r.Len() > 0 {
+		n, err := w.w.Write(w.r.First())
+		w.r.Discard(n)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *ringWriter) Write(p []byte) (int, error) {
+	for left := p; len(left) > 0; {
+		n := min(len(left), w.r.ceiling-w.r.Len())
+		if n == 0 {
+			if err := w.flush(); err != nil {
+				return len(p) - len(left), err
+			}
+			continue
+		}
+		if _, err := w.r.Write(left[:n]); err != nil {
+			return len(p) - len(left), err
+		}
+		left = left[n:]
+	}
+	return len(p), nil
+}
+
+// writeResponse writes a reply with its length.
+func writeResponse(to io.Writer, out *Ring, r Response, end, headOnly bool) error {
+	w := &ringWriter{w: to, r: out}
+	kind := r.Type
+	if kind == "" {
+		kind = "text/plain; charset=utf-8"
+	}
+	fmt.Fprintf(w, "HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %d\r\n", r.Status, Reason(r.Status),
+		kind, len(r.Body))
+	for _, h := range r.Header {
+		fmt.Fprintf(w, "%s: %s\r\n", h[0], h[1])
+	}
+	if end {
+		fmt.Fprint(w, "Connection: close\r\n")
+	}
+	fmt.Fprint(w, "\r\n")
+	if !headOnly {
+		if _, err := w.Write(r.Body); err != nil {
+			return err
+		}
+	}
+	return w.flush()
+}
+
+// Reply is what a server answered.
+type Reply struct {
+	Status int
+	Header textproto.MIMEHeader
+	Body   []byte
+}
+
+// Client is one connection to a server, for one request at a time. It is not safe for concurrent use, but
+// Close may be called at any time and ends a call that is under way.
+type Client struct {
+	c       net.Conn
+	in, out *Ring
+	most    int
+	sound   bool // may carry another request
+	Idle    time.Time
+}
+
+// Dial opens a connection. A reply's body may hold most bytes.
+func Dial(addr string, timeout time.Duration, most int) (*Client, error) {
+	c, err := net.DialTimeout("tcp", addr, timeout)
+	if err != nil {
+		return nil, err
+	}
+	return &Client{c: c, in: NewRing(MaxHead + 2*most), out: NewRing(2 * MaxBody), most: most, sound: true}, nil
+}
+
+// Close ends the connection.
+func (c *Client) Close() { _ = c.c.Close() }
+
+// Sound tells that the connection may carry another request.
+func (c *Client) Sound() bool { return c.sound }
+
+// NotSent wraps a failure before the last byte of a request was written: the server cannot have acted on it.
+type NotSent struct{ Err error }
+
+func (e *NotSent) Error() string { return "not sent: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *NotSent) Unwrap() error { return e.Err }
+
+// Do sends a request and reads its reply until the deadline.
+func (c *Client) Do(method, target, host string, header [][2]string, body []byte,
+	until time.Time) (*Reply, error) {
+	c.sound = false
+	_ = c.c.SetDeadline(until)
+	w := &ringWriter{w: c.c, r: c.out}
+	fmt.Fprintf(w, "%s %s HTTP/1.1\r\nHost: %s\r\n", method, target, host)
+	for _, h := range header {
+		fmt.Fprintf(w, "%s: %s\r\n", h[0], h[1])
+	}
+	if body != nil {
+		fmt.Fprintf(w, "Content-Length: %d\r\n", len(body))
+	}
+	fmt.Fprint(w, "\r\n")
+	_, err := w.Write(body)
+	if err == nil {
+		err = w.flush()
+	}
+	if err != nil {
+		return nil, &NotSent{Err: err}
+	}
+	for {
+		reply, whole, err := c.parseReply(false)
+		if err != nil {
+			return nil, err
+		}
+		if whole {
+			return reply, nil
+		}
+		free := c.in.Free()
+		if free == nil {
+			return nil, bad(502, "the reply is too large")
+		}
+		n, err := c.c.Read(free)
+		c.in.Grew(n)
+		if errors.Is(err, io.EOF) {
+			if reply, whole, perr := c.parseReply(true); perr == nil && whole {
+				return reply, nil
+			}
+			return nil, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// parseReply takes a whole reply out of the ring, interim ones skipped.
+func (c *Client) parseReply(ended bool) (*Reply, bool, error) {
+	for {
+		end := c.in.Index(headEnd)
+		if end < 0 || end > MaxHead {
+			if c.in.Len() > MaxHead {
+				return nil, false, bad(502, "the reply's head is too large")
+			}
+			return nil, false, nil
+		}
+		line, h, err := parseHead(c.in, end+4)
+		if err != nil {
+			return nil, false, err
+		}
+		proto, rest, _ := strings.Cut(line, " ")
+		code, _, _ := strings.Cut(rest, " ")
+		status, err := strconv.Atoi(code)
+		if err != nil || len(code) != 3 || !strings.HasPrefix(proto, "HTTP/1.") {
+			return nil, false, bad(502, "malformed status line")
+		}
+		if status < 200 && status != 101 {
+			c.in.Discard(end + 4)
+			continue
+		}
+		if status == 204 || status == 304 {
+			c.in.Discard(end + 4)
+			c.done(proto, h)
+			return &Reply{Status: status, Header: h}, true, nil
+		}
+		toEnd := len(h["Content-Length"]) == 0 && len(h["Transfer-Encoding"]) == 0
+		if toEnd && ended {
+			body := make([]byte, c.in.Len()-end-4)
+			c.in.Peek(body, end+4)
+			return &Reply{Status: status, Header: h, Body: body}, true, nil
+		}
+		body, taken, err := parseBody(c.in, end+4, h, toEnd, c.most)
+		if err != nil || taken < 0 {
+			return nil, false, err
+		}
+		c.in.Discard(taken)
+		c.done(proto, h)
+		return &Reply{Status: status, Header: h, Body: body}, true, nil
+	}
+}
+
+// done notes whether the connection may go on.
+func (c *Client) done(proto string, h textproto.MIMEHeader) {
+	c.sound = proto == "HTTP/1.1" && !closes(h) && c.in.Len() == 0
+	c.Idle = time.Now()
+}
--- /dev/null
+++ b/internal/platform/front.go
@@ -0,0 +1,214 @@
+package platform
+
+// The clients' front: it turns a request into a query for the core and a final answer into a reply. It owns
+// the form of both and nothing else; it must never hold a query's state, answer one by itself once the core
+// has it, or wait.
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"lapislever/balance"
+	"lapislever/internal/core"
+	lnet "lapislever/internal/net"
+)
+
+const (
+	maxName  = 128  // of a query's or a key's characters
+	maxParts = 1024 // of one query
+)
+
+// Front serves clients of the platform.
+type Front struct {
+	cfg   *Config
+	log   *slog.Logger
+	core  *core.Core
+	via   core.Backend
+	ready atomic.Bool
+}
+
+// Serve takes one request.
+func (f *Front) Serve(r *lnet.Request, x *lnet.Exchange) func() {
+	if r.Path == "/up" {
+		switch {
+		case r.Method != "GET" && r.Method != "HEAD":
+			x.Reply(lnet.Response{Status: 405, Header: [][2]string{{"Allow", "GET, HEAD"}}, Body: []byte("use GET\n")})
+		case f.ready.Load():
+			x.Reply(lnet.Response{Status: 200, Body: []byte("up\n")})
+		default:
+			x.Reply(lnet.Response{Status: 503, Body: []byte("not ready\n")})
+		}
+		return nil
+	}
+	q, err := f.parse(r)
+	if err != nil {
+		f.log.Warn("bad request", "path", r.Path, "status", err.Status, "why", err.What)
+		x.Reply(lnet.Response{Status: err.Status, Body: []byte(err.What + "\n")})
+		return nil
+	}
+	q.Client = &client{x: x, log: f.log}
+	if !f.core.Submit(q) {
+		q.Client.Final(core.Final{Ending: core.Refused, RetryAfter: f.core.FullAdvice()})
+		return nil
+	}
+	return func() { f.core.Post(core.Gone{Query: q}) }
+}
+
+// queryBody is the body of a request.
+type queryBody struct {
+	Slices []struct {
+		Slice  *int     `json:"slice"`
+		Mass   *float64 `json:"mass"`
+		Micros float64  `json:"micros"`
+		Term   string   `json:"term"`
+	} `json:"slices"`
+	Filter string `json:"filter"`
+}
+
+// parse turns a request into a query.
+func (f *Front) parse(r *lnet.Request) (*core.Query, *lnet.BadMessage) {
+	fail := func(status int, format string, args ...any) (*core.Query, *lnet.BadMessage) {
+		return nil, &lnet.BadMessage{Status: status, What: fmt.Sprintf(format, args...)}
+	}
+	name, _, _ := strings.Cut(strings.TrimPrefix(r.Path, "/"), "/")
+	class := f.cfg.class(name)
+	if class < 0 {
+		return fail(404, "unknown class")
+	}
+	if r.Method != "POST" {
+		return fail(405, "use POST")
+	}
+	q := &core.Query{Name: r.Header.Get("X-Call-Id"), Class: class, Via: f.via,
+		Repeat: r.Header.Get("X-Again") == "1", Key: r.Header.Get("Idempotency-Key")}
+	if !isToken(q.Name) {
+		return fail(400, "X-Call-Id is missing or malformed")
+	}
+	switch keyed := f.cfg.Module.Classes[class].Effect == balance.Keyed; {
+	case keyed && !isToken(q.Key):
+		return fail(400, "Idempotency-Key is missing or malformed")
+	case !keyed:
+		q.Key = ""
+	}
+	wait := time.Duration(f.cfg.Module.Classes[class].Deadline) * time.Microsecond
+	if text := r.Header.Get("X-Budget"); text != "" {
+		s, err := strconv.ParseFloat(text, 64)
+		if err != nil || !(s >= 0) || math.IsInf(s, 0) {
+			return fail(400, "X-Budget is malformed")
+		}
+		if s < wait.Seconds() {
+			wait = time.Duration(s * float64(time.Second))
+		}
+	}
+	q.Deadline = r.At.Add(wait)
+	var body queryBody
+	d := json.NewDecoder(bytes.NewReader(r.Body))
+	if err := d.Decode(&body); err != nil {
+		return fail(400, "the body is not as it should be: %v", err)
+	}
+	if len(body.Slices) == 0 || len(body.Slices) > maxParts {
+		return fail(400, "slices: 1 to %d are needed", maxParts)
+	}
+	q.Text = []byte(body.Filter)
+	seen, total := map[int]bool{}, 0.0
+	for _, s := range body.Slices {
+		if s.Slice == nil || *s.Slice < 0 || *s.Slice >= f.cfg.Shards || seen[*s.Slice] {
+			return fail(400, "slices: a slice is missing, unknown or named twice")
+		}
+		seen[*s.Slice] = true
+		p := core.PartSpec{Shard: *s.Slice, Weight: 1}
+		if s.Mass != nil {
+			p.Weight = *s.Mass
+		}
+		if !(p.Weight >= 0) || p.Weight > 1e6 {
+			return fail(400, "slices: a mass is not possible")
+		}
+		total += p.Weight
+		if s.Micros > 0 && s.Micros < 1e12 {
+			p.Hint = balance.Micros(s.Micros)
+		}
+		if s.Term != "" {
+			key, err := strconv.ParseUint(s.Term, 16, 64)
+			if err != nil {
+				return fail(400, "slices: a term is not 16 hex digits")
+			}
+			p.Key = key
+		}
+		q.Parts = append(q.Parts, p)
+	}
+	if total <= 0 {
+		return fail(400, "slices: they have no mass")
+	}
+	return q, nil
+}
+
+// isToken tells that a text can stand in a line of a frame.
+func isToken(s string) bool {
+	if s == "" || len(s) > maxName {
+		return false
+	}
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] >= 0x7f || s[i] == ',' || s[i] == '=' {
+			return false
+		}
+	}
+	return true
+}
+
+// client writes a query's final answer as a reply.
+type client struct {
+	x   *lnet.Exchange
+	log *slog.Logger
+}
+
+// answerBody is the body of a reply.
+type answerBody struct {
+	Entire bool         `json:"entire"`
+	Items  []answerItem `json:"items"`
+}
+
+type answerItem struct {
+	Slice int    `json:"slice"`
+	Body  string `json:"body"`
+}
+
+// Final replies.
+func (c *client) Final(f core.Final) {
+	switch f.Ending {
+	case core.Answered:
+		body := answerBody{Entire: f.Whole, Items: make([]answerItem, 0, len(f.Values))}
+		for _, v := range f.Values {
+			body.Items = append(body.Items, answerItem{Slice: v.Shard, Body: string(v.Body)})
+		}
+		b, err := json.Marshal(body)
+		if err != nil || len(b) > lnet.MaxBody {
+			c.log.Warn("an answer is too large", "bytes", len(b), "err", err)
+			c.x.Reply(lnet.Response{Status: 502, Body: []byte("the answer is too large\n")})
+			return
+		}
+		c.x.Reply(lnet.Response{Status: 200, Type: "application/json", Body: b})
+	case core.Refused:
+		c.x.Reply(Refusal(f.RetryAfter))
+	default:
+		status := 502
+		if f.Overdue {
+			status = 504
+		}
+		c.x.Reply(lnet.Response{Status: status, Body: []byte("failed\n")})
+	}
+}
+
+// Refusal is a reply that tells when to come back.
+func Refusal(after time.Duration) lnet.Response {
+	r := lnet.Response{Status: 503, Body: []byte("refused for now\n")}
+	if after > 0 {
+		r.Header = [][2]string{{"Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64)}}
+	}
+	return r
+}
--- /dev/null
+++ b/internal/platform/nodes.go
@@ -0,0 +1,589 @@
+package platform
+
+// The way to the data nodes: connections that carry frames. This file owns each connection's life, what is
+// written on it and who waits for an answer; it tells the core how each attempt ended, and whether it may
+// have run. It must never retry, choose another node or answer a client.
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"log/slog"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"lapislever/balance"
+	"lapislever/internal/core"
+	lnet "lapislever/internal/net"
+)
+
+const (
+	maxFrame   = lnet.MaxBody + 1024 // of a data node: a value and its line
+	outLimit   = 256 << 10           // bytes queued for one connection
+	writeLimit = 300 * time.Millisecond
+	// idleShare of the nodes' idle limit is when we retire a connection: a request written to one that its
+	// node is about to close ends as a reset.
+	idleShare = 0.7
+)
+
+// Nodes is the backend of the platform's queries.
+type Nodes struct {
+	cfg    *Config
+	log    *slog.Logger
+	budget *lnet.Budget
+	post   func(core.Event)
+	mu     sync.Mutex // guards nodes and each node's address and connections
+	nodes  map[balance.ReplicaID]*node
+}
+
+type node struct {
+	id    balance.ReplicaID
+	name  string
+	addr  string
+	born  float64
+	conns []*nodeConn
+}
+
+// nodeConn is one connection to a data node. Its writer goroutine dials and writes; its reader reads.
+type nodeConn struct {
+	n       *Nodes
+	node    *node
+	mu      sync.Mutex // guards all below
+	out     *lnet.Ring
+	frames  []frame
+	waiting map[string]*core.Attempt
+	probes  []*probe // probes out, in their order
+	calls   int      // calls with a part that waits
+	up      bool
+	dead    bool
+	retired bool // takes nothing new
+	used    time.Time
+	opened  time.Time
+	wake    chan struct{}
+	c       net.Conn
+}
+
+// probe is one probe that is out. An overdue one stays in its place, for its answer bears no name.
+type probe struct {
+	at   time.Time
+	over bool
+}
+
+// frame is a stretch of the out ring: what is not begun can still be taken back.
+type frame struct {
+	size  int
+	call  []*core.Attempt // nil for a cancel or a probe
+	probe bool
+	begun bool
+}
+
+// NewNodes returns the way to the nodes; post is the core's queue.
+func NewNodes(cfg *Config, budget *lnet.Budget, log *slog.Logger, post func(core.Event)) *Nodes {
+	return &Nodes{cfg: cfg, log: log, budget: budget, post: post, nodes: map[balance.ReplicaID]*node{}}
+}
+
+// Learn takes in where nodes are. It must come before the core hears of them.
+func (n *Nodes) Learn(hosts []host) {
+	n.mu.Lock()
+	var close []*nodeConn
+	for i := range hosts {
+		h := &hosts[i]
+		id := HostID(h.Host)
+		x := n.nodes[id]
+		if x == nil {
+			x = &node{id: id, name: h.Host}
+			n.nodes[id] = x
+		}
+		if h.Born > x.born || h.Dial != x.addr {
+			// Another process is there now: what the old one had will not be answered.
+			for _, c := range x.conns {
+				if h.Dial != x.addr || c.opened.UnixMilli() < int64(h.Born) {
+					close = append(close, c)
+				}
+			}
+		}
+		x.addr, x.born = h.Dial, max(x.born, h.Born)
+	}
+	n.mu.Unlock()
+	for _, c := range close {
+		c.end(fmt.Errorf("the node started anew"))
+	}
+}
+
+func wireID(a *core.Attempt) string { return a.Query.Name + "." + strconv.Itoa(a.Shard) }
+
+// Send queues one call on a connection that has room for it, or on a new one.
+func (n *Nodes) Send(to balance.ReplicaID, call []*core.Attempt) bool {
+	var b bytes.Buffer
+	b.Write([]byte{0, 0, 0, 0, '1'})
+	for _, a := range call {
+		fmt.Fprintf(&b, "%s %d d=%d", wireID(a), a.Shard, max(1, a.Timeout.Milliseconds()))
+		if a.Query.Key != "" {
+			b.WriteString(",k=" + a.Query.Key)
+		}
+		fmt.Fprintf(&b, " %d\n", len(a.Query.Text))
+		b.Write(a.Query.Text)
+	}
+	binary.LittleEndian.PutUint32(b.Bytes(), uint32(b.Len()-4))
+	c := n.conn(to, true)
+	return c != nil && c.queue(b.Bytes(), frame{call: call})
+}
+
+// conn finds a connection with room for a call, or opens one.
+func (n *Nodes) conn(to balance.ReplicaID, open bool) *nodeConn {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	x := n.nodes[to]
+	if x == nil || x.addr == "" {
+		return nil
+	}
+	var best *nodeConn
+	room := 0
+	for _, c := range x.conns {
+		c.mu.Lock()
+		free := n.cfg.Streams - c.calls
+		if !c.dead && !c.retired && (best == nil || free > room) {
+			best, room = c, free
+		}
+		c.mu.Unlock()
+	}
+	if best != nil && room > 0 || !open {
+		return best
+	}
+	if !n.budget.TakeServer() {
+		return best // no descriptor is left: it waits behind others
+	}
+	c := &nodeConn{n: n, node: x, out: lnet.NewRing(outLimit), waiting: map[string]*core.Attempt{},
+		wake: make(chan struct{}, 1), used: time.Now(), opened: time.Now()}
+	x.conns = append(x.conns, c)
+	go c.write(x.addr)
+	return c
+}
+
+// Withdraw gives an attempt up: if its frame is not begun it is taken back, else the node is told.
+func (n *Nodes) Withdraw(a *core.Attempt) bool {
+	id := wireID(a)
+	n.mu.Lock()
+	var c *nodeConn
+	if x := n.nodes[a.Replica]; x != nil {
+		for _, k := range x.conns {
+			k.mu.Lock()
+			if k.waiting[id] == a {
+				c = k
+			}
+			k.mu.Unlock()
+		}
+	}
+	n.mu.Unlock()
+	if c == nil {
+		return false
+	}
+	c.mu.Lock()
+	delete(c.waiting, id)
+	unsent := c.unqueue(a)
+	c.mu.Unlock()
+	if !unsent {
+		b := append([]byte{0, 0, 0, 0, '2'}, id...)
+		binary.LittleEndian.PutUint32(b, uint32(len(b)-4))
+		c.queue(b, frame{})
+	}
+	return unsent
+}
+
+// Probe sends a probe, over a connection that is there if possible.
+func (n *Nodes) Probe(to balance.ReplicaID) bool {
+	c := n.conn(to, true)
+	if c == nil {
+		return false
+	}
+	return c.queue([]byte{1, 0, 0, 0, '3'}, frame{probe: true})
+}
+
+// CloseIdle closes the connections to a node that carry nothing.
+func (n *Nodes) CloseIdle(to balance.ReplicaID) {
+	for _, c := range n.connsOf(to) {
+		c.mu.Lock()
+		idle := c.up && len(c.waiting) == 0 && len(c.frames) == 0 && len(c.probes) == 0
+		c.retired = c.retired || idle
+		c.mu.Unlock()
+		if idle {
+			c.end(nil)
+		}
+	}
+}
+
+// Stop takes back what is queued for a node and not begun: nothing of it may go out any more.
+func (n *Nodes) Stop(to balance.ReplicaID) []*core.Attempt {
+	var back []*core.Attempt
+	for _, c := range n.connsOf(to) {
+		c.mu.Lock()
+		for _, f := range c.frames {
+			if !f.begun {
+				for _, a := range f.call {
+					if c.waiting[wireID(a)] == a {
+						delete(c.waiting, wireID(a))
+						back = append(back, a)
+					}
+				}
+			}
+		}
+		c.keep(func(f *frame) bool { return f.begun })
+		c.mu.Unlock()
+	}
+	return back
+}
+
+func (n *Nodes) connsOf(to balance.ReplicaID) []*nodeConn {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if x := n.nodes[to]; x != nil {
+		return append([]*nodeConn(nil), x.conns...)
+	}
+	return nil
+}
+
+// queue appends a frame to what the writer has to write.
+func (c *nodeConn) queue(b []byte, f frame) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.dead {
+		return false
+	}
+	if _, err := c.out.Write(b); err != nil {
+		return false
+	}
+	f.size = len(b)
+	c.frames = append(c.frames, f)
+	for _, a := range f.call {
+		c.waiting[wireID(a)] = a
+	}
+	if f.call != nil {
+		c.calls = c.count()
+	}
+	if f.probe {
+		p := &probe{at: time.Now()}
+		c.probes = append(c.probes, p)
+		time.AfterFunc(c.n.cfg.DialTimeout, func() { c.probeDone(p, balance.TimedOut, nil) })
+	}
+	c.used = time.Now()
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// count is the number of calls out. With one part a call, as here, that is the parts that wait; parts that
+// share a call are counted one by one, which opens a further connection sooner than needed, never later.
+func (c *nodeConn) count() int { return len(c.waiting) }
+
+// queued tells that an attempt's frame is not begun.
+func (c *nodeConn) queued(a *core.Attempt) bool {
+	for _, f := range c.frames {
+		for _, x := range f.call {
+			if x == a && !f.begun {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// unqueue takes an attempt's frame back if it is not begun and holds nothing else that is wanted.
+func (c *nodeConn) unqueue(a *core.Attempt) bool {
+	c.calls = c.count()
+	for i := range c.frames {
+		f := &c.frames[i]
+		for _, x := range f.call {
+			if x != a {
+				continue
+			}
+			if f.begun {
+				return false
+			}
+			for _, y := range f.call {
+				if c.waiting[wireID(y)] == y {
+					return false // others of its call still go out, and it with them
+				}
+			}
+			c.keep(func(g *frame) bool { return g != f })
+			return true
+		}
+	}
+	return false
+}
+
+// keep drops the queued frames that wanted refuses, bytes and all.
+func (c *nodeConn) keep(wanted func(*frame) bool) {
+	total := c.out.Len()
+	all := make([]byte, total)
+	c.out.Peek(all, 0)
+	begun, at := 0, 0
+	var kept []frame
+	var bytes []byte
+	for i := range c.frames {
+		f := &c.frames[i]
+		if f.begun || wanted(f) {
+			kept = append(kept, *f)
+			if f.begun {
+				begun += f.size
+			} else {
+				bytes = append(bytes, all[at:at+f.size]...)
+			}
+		} else if f.probe && len(c.probes) > 0 {
+			c.probes = c.probes[:len(c.probes)-1]
+		}
+		at += f.size
+	}
+	c.out.Truncate(begun)
+	_, _ = c.out.Write(bytes)
+	c.frames = kept
+}
+
+// write dials and then writes frame by frame, each within its limit, so that a node that does not read holds
+// up nothing but its own connection.
+func (c *nodeConn) write(addr string) {
+	conn, err := net.DialTimeout("tcp", addr, c.n.cfg.DialTimeout)
+	if err != nil {
+		c.end(err)
+		return
+	}
+	c.mu.Lock()
+	if c.dead {
+		c.mu.Unlock()
+		_ = conn.Close()
+		return
+	}
+	c.c, c.up = conn, true
+	c.mu.Unlock()
+	go c.read(conn)
+	limit := time.Duration(idleShare * float64(c.n.cfg.ConnIdle))
+	idle := time.NewTimer(limit)
+	defer idle.Stop()
+	var buf []byte
+	for {
+		c.mu.Lock()
+		if c.dead {
+			c.mu.Unlock()
+			return
+		}
+		if len(c.frames) == 0 {
+			quiet := time.Since(c.used)
+			empty := len(c.waiting) == 0 && len(c.probes) == 0
+			if empty && (quiet >= limit || c.retired) {
+				c.retired = true
+				c.mu.Unlock()
+				c.end(nil)
+				return
+			}
+			c.mu.Unlock()
+			idle.Reset(max(limit-quiet, 100*time.Millisecond))
+			select {
+			case <-c.wake:
+			case <-idle.C:
+			}
+			continue
+		}
+		f := &c.frames[0]
+		f.begun = true
+		if cap(buf) < f.size {
+			buf = make([]byte, f.size)
+		}
+		buf = buf[:f.size]
+		c.out.Peek(buf, 0)
+		c.mu.Unlock()
+		_ = conn.SetWriteDeadline(time.Now().Add(writeLimit))
+		_, err := conn.Write(buf)
+		c.mu.Lock()
+		if err == nil && !c.dead { // the frame's last byte is out: from here on its parts may have run
+			c.out.Discard(c.frames[0].size)
+			c.frames = c.frames[1:]
+			c.used = time.Now()
+		}
+		c.mu.Unlock()
+		if err != nil {
+			c.end(err)
+			return
+		}
+	}
+}
+
+// end closes the connection and tells how its attempts ended: those whose frame's last byte was not written
+// have never run, the others may have.
+func (c *nodeConn) end(err error) {
+	c.n.mu.Lock()
+	for i, x := range c.node.conns {
+		if x == c {
+			c.node.conns = append(c.node.conns[:i], c.node.conns[i+1:]...)
+			break
+		}
+	}
+	c.n.mu.Unlock()
+	c.mu.Lock()
+	if c.dead {
+		c.mu.Unlock()
+		return
+	}
+	c.dead = true
+	conn, waiting, probes, up := c.c, c.waiting, c.probes, c.up
+	unsent := map[*core.Attempt]bool{}
+	for _, f := range c.frames {
+		for _, a := range f.call {
+			unsent[a] = true
+		}
+	}
+	c.waiting, c.frames, c.probes = nil, nil, nil
+	c.mu.Unlock()
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+	if conn != nil {
+		_ = conn.Close()
+	}
+	c.n.budget.Release()
+	if err != nil && len(waiting) > 0 {
+		c.n.log.Debug("connection to a node ended", "node", c.node.name, "up", up, "parts", len(waiting),
+			"err", err)
+	}
+	for _, a := range waiting {
+		o := balance.Reset
+		if unsent[a] {
+			o = balance.NoConnection
+		}
+		c.n.post(core.Outcome{Attempt: a, Outcome: o})
+	}
+	for _, p := range probes {
+		o := balance.Reset
+		if !up {
+			o = balance.NoConnection
+		}
+		c.probeDone(p, o, nil)
+	}
+}
+
+// probeDone tells how a probe ended, once.
+func (c *nodeConn) probeDone(p *probe, o balance.Outcome, report []float32) {
+	c.mu.Lock()
+	over := p.over
+	p.over = true
+	c.mu.Unlock()
+	if !over {
+		c.n.post(core.ProbeDone{Replica: c.node.id, Outcome: o, Elapsed: time.Since(p.at), Report: report})
+	}
+}
+
+// read takes answers off the connection.
+func (c *nodeConn) read(conn net.Conn) {
+	in := lnet.NewRing(maxFrame + 4)
+	for {
+		free := in.Free()
+		n, err := conn.Read(free)
+		in.Grew(n)
+		for in.Len() >= 5 {
+			var head [4]byte
+			in.Peek(head[:], 0)
+			size := binary.LittleEndian.Uint32(head[:])
+			if size < 1 || size > maxFrame {
+				c.n.log.Warn("bad frame from a node", "node", c.node.name, "length", size)
+				c.end(fmt.Errorf("a frame of %d bytes", size))
+				return
+			}
+			if in.Len() < 4+int(size) {
+				break
+			}
+			b := make([]byte, size)
+			in.Peek(b, 4)
+			in.Discard(4 + int(size))
+			if ferr := c.frame(b); ferr != nil {
+				c.n.log.Warn("bad frame from a node", "node", c.node.name, "err", ferr)
+				c.end(ferr)
+				return
+			}
+		}
+		if err != nil {
+			c.end(err)
+			return
+		}
+	}
+}
+
+// frame takes in one frame of the node.
+func (c *nodeConn) frame(b []byte) error {
+	rest := b[1:]
+	switch b[0] {
+	case '5':
+		a, err := parseAnswer(rest)
+		if err != nil {
+			return err
+		}
+		c.mu.Lock()
+		c.used = time.Now()
+		at := c.waiting[a.id]
+		if c.queued(at) { // so this one answers an earlier attempt of the same part, which was given up
+			at = nil
+		} else {
+			delete(c.waiting, a.id)
+			c.calls = c.count()
+		}
+		c.mu.Unlock()
+		if at != nil { // else it is late: the attempt was given up
+			c.n.post(core.Outcome{Attempt: at, Outcome: a.outcome, Report: c.n.cfg.report(a.report),
+				Value: core.Value{Body: a.value}})
+		}
+		return nil
+	case '3', '4':
+		c.mu.Lock()
+		if len(c.probes) == 0 {
+			c.mu.Unlock()
+			return nil // given up before
+		}
+		p := c.probes[0]
+		c.probes = c.probes[1:]
+		c.mu.Unlock()
+		if string(rest) == "E" {
+			c.probeDone(p, balance.Error, nil)
+		} else {
+			c.probeDone(p, balance.OK, c.n.cfg.report(string(rest)))
+		}
+		return nil
+	case 'X':
+		return fmt.Errorf("the node could not use a frame: %.100q", rest)
+	}
+	return fmt.Errorf("a frame of the unknown kind %q", b[0])
+}
+
+// nodeAnswer is the line of an answer and its value.
+type nodeAnswer struct {
+	id      string
+	outcome balance.Outcome
+	report  string
+	value   []byte
+}
+
+// parseAnswer reads `ID END SCORE REPORT` LF value.
+func parseAnswer(b []byte) (nodeAnswer, error) {
+	i := bytes.IndexByte(b, '\n')
+	if i < 0 {
+		return nodeAnswer{}, fmt.Errorf("an answer without a line")
+	}
+	f := strings.Split(string(b[:i]), " ")
+	if len(f) != 4 || f[0] == "" {
+		return nodeAnswer{}, fmt.Errorf("an answer's line %.100q", b[:i])
+	}
+	a := nodeAnswer{id: f[0], report: f[3], value: b[i+1:]}
+	switch f[1] {
+	case "S":
+		a.outcome = balance.OK
+	case "E":
+		a.outcome = balance.Error
+	case "B":
+		a.outcome = balance.Busy
+	default:
+		return nodeAnswer{}, fmt.Errorf("an answer's end %.20q", f[1])
+	}
+	return a, nil
+}
--- /dev/null
+++ b/internal/platform/run.go
@@ -0,0 +1,353 @@
+package platform
+
+// One coordinator put together: the watch on discovery, the datagrams, and the order in which all of it
+// starts and ends. This file owns that order; it must never decide about a query.
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"lapislever/balance"
+	"lapislever/internal/core"
+	lnet "lapislever/internal/net"
+)
+
+const (
+	watchWait   = 20 * time.Second
+	watchSlack  = 1500 * time.Millisecond
+	watchRetry  = 50 * time.Millisecond
+	watchMost   = time.Second
+	maxList     = 4 << 20
+	maxDatagram = 256
+	ownSockets  = 24 // descriptors for all but clients and nodes
+	nodeShare   = 4  // one in so many descriptors is kept for nodes
+
+	// An ending coordinator goes on accepting for as long as new connections may still come, and answers all
+	// that it took well before it may be killed.
+	acceptOn    = 600 * time.Millisecond
+	answerOn    = 3200 * time.Millisecond
+	endingLimit = 3500 * time.Millisecond
+)
+
+// Extra is another front on the same core.
+type Extra interface {
+	// Backend takes its queries' parts to their servers.
+	Backend() core.Backend
+	// Start begins to serve; the core runs.
+	Start(c *core.Core, budget *lnet.Budget) error
+	// Finish ends serving: replies end their connections. StopListening comes later.
+	Finish()
+	StopListening()
+}
+
+// Coordinator is one running coordinator.
+type Coordinator struct {
+	cfg    *Config
+	log    *slog.Logger
+	core   *core.Core
+	front  *Front
+	server *lnet.Server
+	nodes  *Nodes
+	peers  *peers
+	extras []Extra
+	stop   chan struct{}
+}
+
+// Start starts a coordinator.
+func Start(cfg *Config, log *slog.Logger, extras ...Extra) (*Coordinator, error) {
+	runtime.GOMAXPROCS(max(1, int(cfg.Limits.Cores)))
+	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 * 6 / 10)
+	k := &Coordinator{cfg: cfg, log: log, extras: extras, stop: make(chan struct{})}
+	most := max(32, cfg.Limits.Sockets-ownSockets)
+	budget := lnet.NewBudget(most, most/nodeShare)
+	post := func(e core.Event) { k.core.Post(e) }
+	k.nodes = NewNodes(cfg, budget, log, post)
+	backends := []core.Backend{k.nodes}
+	for _, x := range extras {
+		backends = append(backends, x.Backend())
+	}
+	k.front = &Front{cfg: cfg, log: log, via: k.nodes}
+	conf := core.Config{Settings: cfg.Module, Seed: cfg.seed(), Backends: backends, Log: log,
+		Listed: func() { k.front.ready.Store(true) }}
+	var err error
+	if cfg.PeerListen != "" {
+		if k.peers, err = listenPeers(cfg, log, post); err != nil {
+			return nil, err
+		}
+		conf.Peers = k.peers
+	}
+	w := &watcher{cfg: cfg, log: log, nodes: k.nodes, post: post, on: make(chan bool, 16),
+		fetch: make(chan struct{}, 16), stop: k.stop}
+	if cfg.Module.Subscribe {
+		conf.Lister = w
+	}
+	if k.core, err = core.New(conf); err != nil {
+		return nil, err
+	}
+	k.front.core = k.core
+	if k.server, err = lnet.Listen(cfg.Listen, budget, log, k.front.Serve); err != nil {
+		return nil, err
+	}
+	go k.core.Run()
+	if cfg.Known != nil { // what was known before a restart: enough to begin with
+		w.seq = cfg.Known.Seq
+		k.nodes.Learn(cfg.Known.Hosts)
+		k.core.Post(core.Listed{Mode: balance.Cached, Replicas: cfg.replicas(cfg.Known.Hosts)})
+	}
+	if k.peers != nil {
+		go k.peers.read()
+		go k.peers.write()
+	}
+	go w.run(!cfg.Module.Subscribe)
+	for _, x := range extras {
+		if err := x.Start(k.core, budget); err != nil {
+			return nil, err
+		}
+	}
+	go k.server.Serve()
+	log.Info("started", "name", cfg.Name, "listen", k.server.Addr())
+	return k, nil
+}
+
+// Addr is the address that clients reach.
+func (k *Coordinator) Addr() string { return k.server.Addr() }
+
+// Shutdown ends in order: not ready any more, then everything that was taken is answered, then the end.
+func (k *Coordinator) Shutdown() {
+	begun := time.Now()
+	k.log.Info("ending")
+	k.front.ready.Store(false)
+	k.server.Finish()
+	for _, x := range k.extras {
+		x.Finish()
+	}
+	idle := k.core.Finish(begun.Add(answerOn))
+	time.Sleep(acceptOn)
+	k.server.StopListening()
+	for _, x := range k.extras {
+		x.StopListening()
+	}
+	select {
+	case <-idle:
+	case <-time.After(time.Until(begun.Add(endingLimit))):
+		k.log.Error("ended with queries open")
+	}
+	k.server.Wait(max(50*time.Millisecond, time.Until(begun.Add(endingLimit))))
+	close(k.stop)
+	k.core.Close()
+	k.log.Info("ended", "took", time.Since(begun))
+}
+
+// watcher follows discovery.
+type watcher struct {
+	cfg   *Config
+	log   *slog.Logger
+	nodes *Nodes
+	post  func(core.Event)
+	on    chan bool
+	fetch chan struct{}
+	stop  chan struct{}
+	seq   int64
+}
+
+// Watch is the module's wish to hear of changes.
+func (w *watcher) Watch(on bool) {
+	select {
+	case w.on <- on:
+	default:
+	}
+}
+
+// Fetch is the module's wish for the whole list.
+func (w *watcher) Fetch() {
+	select {
+	case w.fetch <- struct{}{}:
+	default:
+	}
+}
+
+// run keeps the list up to date. Each next call follows the last answer at once, so that the watch goes on.
+func (w *watcher) run(watching bool) {
+	var c *lnet.Client
+	asked := !watching // by the module, which wants to hear of a failure
+	wait := watchRetry
+	whole := true
+	for {
+		if !watching {
+			select {
+			case watching = <-w.on:
+				continue
+			case <-w.fetch:
+				whole = true
+			case <-w.stop:
+				return
+			}
+		} else {
+			select {
+			case watching = <-w.on:
+				continue
+			case <-w.fetch:
+				whole = true
+			case <-w.stop:
+				return
+			default:
+			}
+		}
+		target := "/discovery/hosts"
+		limit := watchSlack
+		if !whole {
+			target = fmt.Sprintf("/discovery/hosts?index=%d&wait=%d", w.seq, watchWait.Milliseconds())
+			limit += watchWait
+		}
+		list, err := w.call(&c, target, limit)
+		if err != nil {
+			w.log.Warn("discovery did not answer", "err", err)
+			if asked {
+				watching = false
+				w.post(core.Listed{Mode: balance.Failed})
+				continue
+			}
+			select {
+			case <-time.After(wait):
+			case <-w.stop:
+				return
+			}
+			wait = min(2*wait, watchMost)
+			continue
+		}
+		wait, whole = watchRetry, false
+		w.take(list)
+	}
+}
+
+// take hands a list on. An answer without changes says nothing.
+func (w *watcher) take(list *hostList) {
+	w.seq = list.Seq
+	if !list.Whole && len(list.Hosts) == 0 {
+		return
+	}
+	mode := balance.Delta
+	if list.Whole {
+		mode = balance.Full
+	}
+	w.nodes.Learn(list.Hosts)
+	w.post(core.Listed{Mode: mode, Replicas: w.cfg.replicas(list.Hosts)})
+}
+
+func (w *watcher) call(c **lnet.Client, target string, limit time.Duration) (*hostList, error) {
+	if *c == nil || !(*c).Sound() {
+		if *c != nil {
+			(*c).Close()
+			*c = nil
+		}
+		fresh, err := lnet.Dial(w.cfg.Discovery, time.Second, maxList)
+		if err != nil {
+			return nil, err
+		}
+		*c = fresh
+	}
+	reply, err := (*c).Do("GET", target, w.cfg.Discovery, nil, nil, time.Now().Add(limit))
+	if err != nil {
+		return nil, err
+	}
+	if reply.Status != 200 {
+		return nil, fmt.Errorf("status %d", reply.Status)
+	}
+	list := &hostList{}
+	return list, json.Unmarshal(reply.Body, list)
+}
+
+// peers carries datagrams between coordinators.
+type peers struct {
+	cfg  *Config
+	log  *slog.Logger
+	post func(core.Event)
+	c    *net.UDPConn
+	to   []*net.UDPAddr
+	all  *net.UDPAddr
+	out  chan datagram
+	from map[string]uint32
+}
+
+type datagram struct {
+	to   *net.UDPAddr
+	text string
+}
+
+func listenPeers(cfg *Config, log *slog.Logger, post func(core.Event)) (*peers, error) {
+	p := &peers{cfg: cfg, log: log, post: post, out: make(chan datagram, 64), from: map[string]uint32{}}
+	own, err := net.ResolveUDPAddr("udp", cfg.PeerListen)
+	if err != nil {
+		return nil, fmt.Errorf("peer_listen: %w", err)
+	}
+	for i, text := range cfg.Peers {
+		a, err := net.ResolveUDPAddr("udp", text)
+		if err != nil {
+			return nil, fmt.Errorf("peers: %w", err)
+		}
+		p.to = append(p.to, a)
+		p.from[a.String()] = uint32(i)
+	}
+	if cfg.PeersAll != "" {
+		if p.all, err = net.ResolveUDPAddr("udp", cfg.PeersAll); err != nil {
+			return nil, fmt.Errorf("peers_all: %w", err)
+		}
+	}
+	p.c, err = net.ListenUDP("udp", own)
+	return p, err
+}
+
+// Tell queues a datagram; where the queue is full it is lost, as any may be.
+func (p *peers) Tell(to uint32, text string) {
+	if len(text) == 0 || len(text) > maxDatagram { // a longer one is forbidden
+		p.log.Error("a message to a peer has an impossible length", "bytes", len(text))
+		return
+	}
+	addr := p.all
+	if to != balance.AllPeers {
+		if int64(to) >= int64(len(p.to)) || int(to) == p.cfg.Module.Number {
+			return
+		}
+		addr = p.to[to]
+	}
+	if addr == nil {
+		return
+	}
+	select {
+	case p.out <- datagram{to: addr, text: text}:
+	default:
+	}
+}
+
+func (p *peers) write() {
+	for d := range p.out {
+		if _, err := p.c.WriteToUDP([]byte(d.text), d.to); errors.Is(err, net.ErrClosed) {
+			return
+		}
+	}
+}
+
+func (p *peers) read() {
+	buf := make([]byte, maxDatagram+1)
+	for {
+		n, from, err := p.c.ReadFromUDP(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		who, known := p.from[from.String()]
+		if !known || n > maxDatagram {
+			p.log.Warn("bad datagram", "from", from, "bytes", n)
+			continue
+		}
+		p.post(core.PeerMessage{From: who, Data: append([]byte(nil), buf[:n]...)})
+	}
+}
