--- a/cmd/lapislever/main.go
+++ b/cmd/lapislever/main.go
@@ -1,4 +1,5 @@
-// Command lapislever is the coordinator. This file owns the command line; it holds no logic of its own.
+// Command lapislever is the coordinator. This file owns the command line and puts the parts together; it
+// must never hold logic of its own.
 package main
 
 import (
@@ -14,6 +15,7 @@
 	"github.com/spf13/pflag"
 
 	"lapislever/internal/platform"
+	"lapislever/internal/promql"
 )
 
 // errUsage marks an error of the command line itself.
@@ -25,31 +27,38 @@
   serve     run one coordinator
   check     validate the configuration and stop
   version   print the version
+
+RELAY_CONFIG names the platform's configuration. With --promql FILE range queries are served too, and without
+RELAY_CONFIG they alone.
 `
 
 func main() {
-	err := run(os.Args[1:], os.Stdout, os.Stderr, os.Getenv)
+	ends := make(chan os.Signal, 1)
+	signal.Notify(ends, syscall.SIGTERM, syscall.SIGINT)
+	err := run(os.Args[1:], os.Stdout, os.Stderr, os.Getenv, ends)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "lapislever:", err)
+	}
 	switch {
 	case errors.Is(err, errUsage):
-		fmt.Fprintln(os.Stderr, "lapislever:", err)
 		os.Exit(2)
 	case err != nil:
-		fmt.Fprintln(os.Stderr, "lapislever:", err)
 		os.Exit(1)
 	}
 }
 
-func run(args []string, stdout, stderr io.Writer, env func(string) string) error {
+func run(args []string, stdout, stderr io.Writer, env func(string) string, ends <-chan os.Signal) error {
 	if len(args) == 0 {
 		fmt.Fprint(stderr, usage)
 		return fmt.Errorf("%w: a command is needed", errUsage)
 	}
 	flags := pflag.NewFlagSet(args[0], pflag.ContinueOnError)
 	flags.SetOutput(stderr)
-	verbose := false
+	verbose, ranges := false, ""
 	switch args[0] {
 	case "serve", "check":
 		flags.BoolVarP(&verbose, "verbose", "v", false, "log more")
+		flags.StringVar(&ranges, "promql", "", "serve range queries as this file says")
 	case "version":
 	case "help", "-h", "--help":
 		fmt.Fprint(stdout, usage)
@@ -75,7 +84,7 @@
 		level = slog.LevelDebug
 	}
 	log := slog.New(slog.NewTextHandler(stderr, &slog.HandlerOptions{Level: level}))
-	cfg, err := platform.Load(env)
+	cfg, fronts, err := load(ranges, env, log)
 	if err != nil {
 		return err
 	}
@@ -83,13 +92,8 @@
 		fmt.Fprintln(stdout, "the configuration is sound")
 		return nil
 	}
-	return serve(cfg, log)
-}
-
-func serve(cfg *platform.Config, log *slog.Logger) error {
-	ends := make(chan os.Signal, 1)
-	signal.Notify(ends, syscall.SIGTERM, syscall.SIGINT)
-	k, err := platform.Start(cfg, log)
+	cfg.ApplyLimits()
+	k, err := platform.Start(cfg, log, fronts...)
 	if err != nil {
 		return err
 	}
@@ -98,6 +102,35 @@
 	return nil
 }
 
+// load reads the configuration, and the range-query front's file where one is given.
+func load(ranges string, env func(string) string, log *slog.Logger) (*platform.Config, []platform.Extra,
+	error) {
+	if ranges == "" {
+		cfg, err := platform.Load(env)
+		return cfg, nil, err
+	}
+	file, err := promql.LoadConfig(ranges)
+	if err != nil {
+		return nil, nil, err
+	}
+	alone := env("RELAY_CONFIG") == ""
+	var cfg *platform.Config
+	if alone {
+		cfg, err = platform.Alone(file.Standalone())
+	} else {
+		cfg, err = platform.Load(env)
+	}
+	if err != nil {
+		return nil, nil, err
+	}
+	front, err := promql.New(file, promql.Place{Classes: cfg.Classes, Settings: cfg.Module, Zones: cfg.Zones,
+		Shards: cfg.Shards, DialTimeout: cfg.DialTimeout, ConnIdle: cfg.ConnIdle, Alone: alone, Log: log})
+	if err != nil {
+		return nil, nil, fmt.Errorf("%s: %w", ranges, err)
+	}
+	return cfg, []platform.Extra{front}, nil
+}
+
 func version() string {
 	if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
 		return info.Main.Version
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -7,6 +7,7 @@
 
 import (
 	"container/heap"
+	"hash/fnv"
 	"log/slog"
 	"math"
 	"time"
@@ -16,12 +17,11 @@
 
 // Sizes of the core.
 const (
-	queueSize    = 4096
-	maxBatch     = 1024                   // events of one Step
-	guardSlack   = 10 * time.Millisecond  // past its time a query is ended without the module
-	fullAdvice   = 250 * time.Millisecond // when to come back after the queue or the table was full
-	numberLimit  = 1 << 24                // a query's number must be exact as a float32
-	silentGrowth = 1024                   // pending actions that a buffer keeps for the next Step
+	queueSize   = 4096
+	maxBatch    = 1024                   // events of one Step
+	guardSlack  = 10 * time.Millisecond  // past its time a query is ended without the module
+	fullAdvice  = 250 * time.Millisecond // when to come back after the queue or the table was full
+	numberLimit = 1 << 24                // a query's number must be exact as a float32
 )
 
 // Ending is the kind of a final answer.
@@ -75,6 +75,7 @@
 	Parts    []PartSpec
 	Client   Client
 	Via      Backend // takes the parts to their servers
+	Data     any     // what the front and its backend share
 
 	id       uint32
 	number   float32
@@ -94,6 +95,13 @@
 	over  bool
 }
 
+// ServerID is the module's name for a server: the same at every coordinator, as peers name servers by it.
+func ServerID(name string) balance.ReplicaID {
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	return balance.ReplicaID(h.Sum64())
+}
+
 // Attempt is one send of a part. Backends keep the pointer and hand it back with the outcome.
 type Attempt struct {
 	Query   *Query
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -1,6 +1,6 @@
-// Package net owns sockets and bytes: listeners, connections with one ring buffer a direction, the budget of
-// descriptors, and HTTP/1.1 on net/textproto. It must never decide anything: it does not know the module, the
-// classes or what a body means, and no goroutine of it ever runs the module.
+// Package net owns sockets and bytes: listeners, connections with one ring buffer a direction, the budget
+// of descriptors, and HTTP/1.1 on net/textproto. It must never decide anything: it does not know the
+// module, the classes or what a body means, and no goroutine of it ever runs the module.
 //
 // This file holds the ring buffer, the descriptor budget and the server side of a connection; http.go holds
 // the messages and the client side.
@@ -44,9 +44,9 @@
 // Len is the number of bytes held.
 func (r *Ring) Len() int { return r.n }
 
-// Free returns a stretch to read into; Grew must be told how much of it was filled. It is nil when full. Only
-// here does an emptied ring start over and give memory back: Discard may run while a read into Free is under
-// way, and must not move the place that it fills.
+// Free returns a stretch to read into; Grew must be told how much of it was filled. It is nil when full.
+// Only here does an emptied ring start over and give memory back: Discard may run while a read into Free is
+// under way, and must not move the place that it fills.
 func (r *Ring) Free() []byte {
 	if r.n == 0 {
 		if r.at = 0; len(r.buf) > 16*firstRing {
@@ -156,8 +156,8 @@
 	return bytes.Index(all, sep)
 }
 
-// Budget counts descriptors that clients and servers share. A part of it is kept for servers, so that a crowd
-// of clients cannot take away the means to serve any of them.
+// Budget counts descriptors that clients and servers share. A part of it is kept for servers, so that a
+// crowd of clients cannot take away the means to serve any of them.
 type Budget struct {
 	used, most, kept atomic.Int64
 }
@@ -506,7 +506,8 @@
 }
 
 func (c *serverConn) write(r Response, end, headOnly bool) error {
-	_ = c.c.SetWriteDeadline(time.Now().Add(replyLimit))
+	limit := replyLimit + time.Duration(len(r.Body))*time.Microsecond // a megabyte a second
+	_ = c.c.SetWriteDeadline(time.Now().Add(limit))
 	return writeResponse(c.c, c.out, r, end, headOnly)
 }
 
--- a/internal/net/http.go
+++ b/internal/net/http.go
@@ -152,7 +152,7 @@
 	if proto == "HTTP/1.1" && len(h["Host"]) != 1 {
 		return nil, false, bad(400, "one Host header is needed")
 	}
-	body, taken, err := parseBody(in, end+4, h, false, MaxBody)
+	body, taken, err := parseBody(in, end+4, h, MaxBody)
 	if err != nil {
 		return nil, false, err
 	}
@@ -184,10 +184,9 @@
 	return false
 }
 
-// parseBody copies the body that begins at place from. taken is where the message ends, or -1 while bytes are
-// lacking. A reply without a length runs until the connection ends, which toEnd stands for.
-func parseBody(in *Ring, from int, h textproto.MIMEHeader, toEnd bool, most int) (b []byte, taken int,
-	err error) {
+// parseBody copies the body that begins at place from. taken is where the message ends, or -1 while bytes
+// are lacking.
+func parseBody(in *Ring, from int, h textproto.MIMEHeader, most int) (b []byte, taken int, err error) {
 	codings, lengths := h["Transfer-Encoding"], h["Content-Length"]
 	switch {
 	case len(codings) > 0 && len(lengths) > 0: // two readers could see two different messages
@@ -216,11 +215,6 @@
 		b = make([]byte, n)
 		in.Peek(b, from)
 		return b, from + int(n), nil
-	case toEnd:
-		if in.Len()-from > most {
-			return nil, 0, bad(413, "the body is larger than %d bytes", most)
-		}
-		return nil, -1, nil
 	}
 	return nil, from, nil
 }
@@ -347,6 +341,8 @@
 	most    int
 	sound   bool // may carry another request
 	Idle    time.Time
+	// Grant, if set, is asked before a body grows by so many bytes; where it says no the call fails.
+	Grant func(n int) bool
 }
 
 // Dial opens a connection. A reply's body may hold most bytes.
@@ -355,7 +351,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Client{c: c, in: NewRing(MaxHead + 2*most), out: NewRing(2 * MaxBody), most: most, sound: true}, nil
+	return &Client{c: c, in: NewRing(MaxHead + MaxBody), out: NewRing(MaxBody), most: most, sound: true}, nil
 }
 
 // Close ends the connection.
@@ -364,17 +360,17 @@
 // Sound tells that the connection may carry another request.
 func (c *Client) Sound() bool { return c.sound }
 
-// NotSent wraps a failure before the last byte of a request was written: the server cannot have acted on it.
-type NotSent struct{ Err error }
-
-func (e *NotSent) Error() string { return "not sent: " + e.Err.Error() }
-
-// Unwrap returns the cause.
-func (e *NotSent) Unwrap() error { return e.Err }
-
 // Do sends a request and reads its reply until the deadline.
 func (c *Client) Do(method, target, host string, header [][2]string, body []byte,
 	until time.Time) (*Reply, error) {
+	if err := c.Write(method, target, host, header, body, until); err != nil {
+		return nil, err
+	}
+	return c.Read(until)
+}
+
+// Write sends a request. If it fails the last byte was not written: the server cannot have acted on it.
+func (c *Client) Write(method, target, host string, header [][2]string, body []byte, until time.Time) error {
 	c.sound = false
 	_ = c.c.SetDeadline(until)
 	w := &ringWriter{w: c.c, r: c.out}
@@ -386,86 +382,164 @@
 		fmt.Fprintf(w, "Content-Length: %d\r\n", len(body))
 	}
 	fmt.Fprint(w, "\r\n")
-	_, err := w.Write(body)
-	if err == nil {
-		err = w.flush()
+	if _, err := w.Write(body); err != nil {
+		return err
 	}
-	if err != nil {
-		return nil, &NotSent{Err: err}
+	return w.flush()
+}
+
+// fill reads once into the ring.
+func (c *Client) fill() error {
+	free := c.in.Free()
+	if free == nil {
+		return bad(502, "the reply's head is too large")
 	}
-	for {
-		reply, whole, err := c.parseReply(false)
-		if err != nil {
-			return nil, err
-		}
-		if whole {
-			return reply, nil
-		}
-		free := c.in.Free()
-		if free == nil {
-			return nil, bad(502, "the reply is too large")
-		}
-		n, err := c.c.Read(free)
-		c.in.Grew(n)
-		if errors.Is(err, io.EOF) {
-			if reply, whole, perr := c.parseReply(true); perr == nil && whole {
-				return reply, nil
-			}
-			return nil, io.ErrUnexpectedEOF
-		}
-		if err != nil {
-			return nil, err
-		}
+	n, err := c.c.Read(free)
+	c.in.Grew(n)
+	if n > 0 {
+		return nil
 	}
+	return err
 }
 
-// parseReply takes a whole reply out of the ring, interim ones skipped.
-func (c *Client) parseReply(ended bool) (*Reply, bool, error) {
+// Read reads the reply to the request that was written, interim ones skipped.
+func (c *Client) Read(until time.Time) (*Reply, error) {
+	_ = c.c.SetDeadline(until)
 	for {
 		end := c.in.Index(headEnd)
-		if end < 0 || end > MaxHead {
-			if c.in.Len() > MaxHead {
-				return nil, false, bad(502, "the reply's head is too large")
+		if end > MaxHead || end < 0 && c.in.Len() > MaxHead {
+			return nil, bad(502, "the reply's head is too large")
+		}
+		if end < 0 {
+			if err := c.fill(); err != nil {
+				return nil, fmt.Errorf("reading a reply: %w", err)
 			}
-			return nil, false, nil
+			continue
 		}
 		line, h, err := parseHead(c.in, end+4)
 		if err != nil {
-			return nil, false, err
+			return nil, err
 		}
+		c.in.Discard(end + 4)
 		proto, rest, _ := strings.Cut(line, " ")
 		code, _, _ := strings.Cut(rest, " ")
 		status, err := strconv.Atoi(code)
 		if err != nil || len(code) != 3 || !strings.HasPrefix(proto, "HTTP/1.") {
-			return nil, false, bad(502, "malformed status line")
+			return nil, bad(502, "malformed status line")
 		}
-		if status < 200 && status != 101 {
-			c.in.Discard(end + 4)
+		if status < 200 {
 			continue
 		}
-		if status == 204 || status == 304 {
-			c.in.Discard(end + 4)
-			c.done(proto, h)
-			return &Reply{Status: status, Header: h}, true, nil
+		r := &Reply{Status: status, Header: h}
+		lasting := true
+		if status != 204 && status != 304 {
+			if r.Body, lasting, err = c.body(h); err != nil {
+				return nil, err
+			}
 		}
-		toEnd := len(h["Content-Length"]) == 0 && len(h["Transfer-Encoding"]) == 0
-		if toEnd && ended {
-			body := make([]byte, c.in.Len()-end-4)
-			c.in.Peek(body, end+4)
-			return &Reply{Status: status, Header: h, Body: body}, true, nil
+		c.sound = lasting && proto == "HTTP/1.1" && !closes(h) && c.in.Len() == 0
+		c.Idle = time.Now()
+		return r, nil
+	}
+}
+
+// body reads a reply's body; lasting tells that the connection may go on after it.
+func (c *Client) body(h textproto.MIMEHeader) (b []byte, lasting bool, err error) {
+	codings, lengths := h["Transfer-Encoding"], h["Content-Length"]
+	var left uint64
+	switch {
+	case len(codings) > 0:
+		if len(codings) != 1 || !strings.EqualFold(strings.TrimSpace(codings[0]), "chunked") {
+			return nil, false, bad(502, "unknown transfer coding")
 		}
-		body, taken, err := parseBody(c.in, end+4, h, toEnd, c.most)
-		if err != nil || taken < 0 {
+		b, err = c.chunks()
+		return b, true, err
+	case len(lengths) > 0:
+		if left, err = strconv.ParseUint(lengths[0], 10, 63); err != nil {
+			return nil, false, bad(502, "malformed length")
+		}
+		b, err = c.take(nil, left)
+		return b, true, err
+	}
+	for {
+		if b, err = c.take(b, uint64(c.in.Len())); err != nil {
 			return nil, false, err
 		}
-		c.in.Discard(taken)
-		c.done(proto, h)
-		return &Reply{Status: status, Header: h, Body: body}, true, nil
+		if err = c.fill(); errors.Is(err, io.EOF) {
+			return b, false, nil
+		} else if err != nil {
+			return nil, false, err
+		}
+	}
+}
+
+// take moves n bytes of the body behind b.
+func (c *Client) take(b []byte, n uint64) ([]byte, error) {
+	if n > uint64(c.most-len(b)) {
+		return nil, bad(502, "the reply is larger than %d bytes", c.most)
+	}
+	for n > 0 {
+		if c.in.Len() == 0 {
+			if err := c.fill(); err != nil {
+				return nil, fmt.Errorf("reading a reply: %w", err)
+			}
+		}
+		part := c.in.First()
+		part = part[:min(uint64(len(part)), n)]
+		if c.Grant != nil && !c.Grant(len(part)) {
+			return nil, bad(502, "no memory is left for the reply")
+		}
+		b = append(b, part...)
+		n -= uint64(len(part))
+		c.in.Discard(len(part))
+	}
+	return b, nil
+}
+
+// line takes one short line.
+func (c *Client) line() (string, error) {
+	for {
+		if i := c.in.Index([]byte("\r\n")); i >= 0 && i <= 1024 {
+			b := make([]byte, i)
+			c.in.Peek(b, 0)
+			c.in.Discard(i + 2)
+			return string(b), nil
+		}
+		if c.in.Len() > 1024 {
+			return "", bad(502, "malformed chunk")
+		}
+		if err := c.fill(); err != nil {
+			return "", fmt.Errorf("reading a reply: %w", err)
+		}
 	}
 }
 
-// done notes whether the connection may go on.
-func (c *Client) done(proto string, h textproto.MIMEHeader) {
-	c.sound = proto == "HTTP/1.1" && !closes(h) && c.in.Len() == 0
-	c.Idle = time.Now()
+// chunks reads a chunked body piece by piece.
+func (c *Client) chunks() ([]byte, error) {
+	var b []byte
+	for {
+		text, err := c.line()
+		if err != nil {
+			return nil, err
+		}
+		digits, _, _ := strings.Cut(text, ";")
+		n, err := strconv.ParseUint(strings.TrimSpace(digits), 16, 31)
+		if err != nil {
+			return nil, bad(502, "malformed chunk")
+		}
+		if n == 0 {
+			break
+		}
+		if b, err = c.take(b, n); err != nil {
+			return nil, err
+		}
+		if text, err = c.line(); err != nil || text != "" {
+			return nil, bad(502, "malformed chunk")
+		}
+	}
+	for { // trailers
+		if text, err := c.line(); err != nil || text == "" {
+			return b, err
+		}
+	}
 }
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -1,14 +1,14 @@
-// Package platform speaks the platform's protocol: the clients' front, the frames to data nodes, the watch on
-// discovery, the datagrams between coordinators, and the configuration that a coordinator is started with. It
-// must never hold the state of a query or decide anything: both are behind the core's queue.
+// Package platform speaks the platform's protocol: the clients' front, the frames to data nodes, the watch
+// on discovery, the datagrams between coordinators, and the configuration that a coordinator is started
+// with. It must never hold the state of a query or decide anything: both are behind the core's queue.
 //
 // This file owns the configuration and the names that the settings give: classes, zones and load reports.
 package platform
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
-	"hash/fnv"
 	"math"
 	"os"
 	"sort"
@@ -17,6 +17,7 @@
 	"time"
 
 	"lapislever/balance"
+	"lapislever/internal/core"
 	"lapislever/internal/wire"
 )
 
@@ -67,7 +68,7 @@
 // Parse reads a configuration and checks it.
 func Parse(text []byte, env func(string) string) (*Config, error) {
 	c := &Config{}
-	d := json.NewDecoder(strings.NewReader(string(text)))
+	d := json.NewDecoder(bytes.NewReader(text))
 	d.UseNumber()
 	if err := d.Decode(c); err != nil {
 		return nil, err
@@ -86,9 +87,30 @@
 	if c.Discovery == "" {
 		return nil, fmt.Errorf("discovery is missing")
 	}
+	return c, c.derive()
+}
+
+// Alone is the configuration of a coordinator without the platform: no clients' front of its own, no
+// discovery.
+func Alone(settings map[string]any) (*Config, error) {
+	text, err := json.Marshal(map[string]any{"settings": settings})
+	if err != nil {
+		return nil, err
+	}
+	c := &Config{Name: "alone"}
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.UseNumber()
+	if err := d.Decode(c); err != nil {
+		return nil, err
+	}
+	return c, c.derive()
+}
+
+// derive reads the settings and fills in what limits are not given.
+func (c *Config) derive() error {
 	if c.Seed != "" {
 		if _, err := strconv.ParseUint(c.Seed, 16, 64); err != nil {
-			return nil, fmt.Errorf("seed: %q is not 16 hex digits", c.Seed)
+			return fmt.Errorf("seed: %q is not 16 hex digits", c.Seed)
 		}
 	}
 	flat := map[string]string{}
@@ -100,7 +122,7 @@
 	sort.Strings(lines)
 	var err error
 	if c.Module, err = wire.ParseSettings(strings.Join(lines, "\n")); err != nil {
-		return nil, err
+		return err
 	}
 	list := func(key string) []string {
 		if flat[key] == "" {
@@ -112,7 +134,7 @@
 	for i := range c.Module.Classes {
 		name := flat[fmt.Sprintf("lanes.%d.name", i)]
 		if name == "" {
-			return nil, fmt.Errorf("setting lanes.%d.name: is missing", i)
+			return fmt.Errorf("setting lanes.%d.name: is missing", i)
 		}
 		c.Classes = append(c.Classes, name)
 	}
@@ -139,11 +161,11 @@
 	if c.Limits.MemoryMB <= 0 {
 		c.Limits.MemoryMB = 192
 	}
-	return c, err
+	return err
 }
 
-// flatten writes nested settings as the simulator does: paths joined by dots, lists of plain values joined by
-// commas, lists of objects with their length under .count.
+// flatten writes nested settings as the simulator does: paths joined by dots, lists of plain values joined
+// by commas, lists of objects with their length under .count.
 func flatten(path string, v any, out map[string]string) {
 	at := func(key string) string {
 		if path == "" {
@@ -246,13 +268,6 @@
 	Born   float64 `json:"born_ms"`
 }
 
-// HostID is the module's name for a data node: the same at every coordinator, as peers name nodes by it.
-func HostID(name string) balance.ReplicaID {
-	h := fnv.New64a()
-	h.Write([]byte(name))
-	return balance.ReplicaID(h.Sum64())
-}
-
 // replicas turns a list into the module's form.
 func (c *Config) replicas(hosts []host) []balance.Replica {
 	out := make([]balance.Replica, 0, len(hosts))
@@ -271,7 +286,7 @@
 		case "terminating":
 			state = balance.Draining
 		}
-		out = append(out, balance.Replica{ID: HostID(h.Host), Zone: zone, Cell: h.Block, State: state,
+		out = append(out, balance.Replica{ID: core.ServerID(h.Host), Zone: zone, Cell: h.Block, State: state,
 			Size: h.Share, Started: balance.Micros(h.Born * 1000)})
 	}
 	return out
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -91,7 +91,7 @@
 	var close []*nodeConn
 	for i := range hosts {
 		h := &hosts[i]
-		id := HostID(h.Host)
+		id := core.ServerID(h.Host)
 		x := n.nodes[id]
 		if x == nil {
 			x = &node{id: id, name: h.Host}
@@ -343,8 +343,8 @@
 	c.frames = kept
 }
 
-// write dials and then writes frame by frame, each within its limit, so that a node that does not read holds
-// up nothing but its own connection.
+// write dials and then writes frame by frame, each within its limit, so that a node that does not read
+// holds up nothing but its own connection.
 func (c *nodeConn) write(addr string) {
 	conn, err := net.DialTimeout("tcp", addr, c.n.cfg.DialTimeout)
 	if err != nil {
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -28,8 +28,8 @@
 	ownSockets  = 24 // descriptors for all but clients and nodes
 	nodeShare   = 4  // one in so many descriptors is kept for nodes
 
-	// An ending coordinator goes on accepting for as long as new connections may still come, and answers all
-	// that it took well before it may be killed.
+	// An ending coordinator goes on accepting for as long as new connections may still come, and answers
+	// all that it took well before it may be killed.
 	acceptOn    = 600 * time.Millisecond
 	answerOn    = 3200 * time.Millisecond
 	endingLimit = 3500 * time.Millisecond
@@ -41,9 +41,14 @@
 	Backend() core.Backend
 	// Start begins to serve; the core runs.
 	Start(c *core.Core, budget *lnet.Budget) error
-	// Finish ends serving: replies end their connections. StopListening comes later.
-	Finish()
-	StopListening()
+	ender
+}
+
+// ender is a listener with its connections, as far as ending goes.
+type ender interface {
+	Finish()        // from now on replies end their connections
+	StopListening() // no new connections
+	Wait(most time.Duration) bool
 }
 
 // Coordinator is one running coordinator.
@@ -59,10 +64,14 @@
 	stop   chan struct{}
 }
 
+// ApplyLimits keeps this process within the platform's limits on cores and memory.
+func (c *Config) ApplyLimits() {
+	runtime.GOMAXPROCS(max(1, int(c.Limits.Cores)))
+	debug.SetMemoryLimit(int64(c.Limits.MemoryMB) << 20 * 6 / 10)
+}
+
 // Start starts a coordinator.
 func Start(cfg *Config, log *slog.Logger, extras ...Extra) (*Coordinator, error) {
-	runtime.GOMAXPROCS(max(1, int(cfg.Limits.Cores)))
-	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 * 6 / 10)
 	k := &Coordinator{cfg: cfg, log: log, extras: extras, stop: make(chan struct{})}
 	most := max(32, cfg.Limits.Sockets-ownSockets)
 	budget := lnet.NewBudget(most, most/nodeShare)
@@ -91,8 +100,10 @@
 		return nil, err
 	}
 	k.front.core = k.core
-	if k.server, err = lnet.Listen(cfg.Listen, budget, log, k.front.Serve); err != nil {
-		return nil, err
+	if cfg.Listen != "" {
+		if k.server, err = lnet.Listen(cfg.Listen, budget, log, k.front.Serve); err != nil {
+			return nil, err
+		}
 	}
 	go k.core.Run()
 	if cfg.Known != nil { // what was known before a restart: enough to begin with
@@ -104,14 +115,18 @@
 		go k.peers.read()
 		go k.peers.write()
 	}
-	go w.run(!cfg.Module.Subscribe)
+	if cfg.Discovery != "" {
+		go w.run(!cfg.Module.Subscribe)
+	}
 	for _, x := range extras {
 		if err := x.Start(k.core, budget); err != nil {
 			return nil, err
 		}
 	}
-	go k.server.Serve()
-	log.Info("started", "name", cfg.Name, "listen", k.server.Addr())
+	if k.server != nil {
+		go k.server.Serve()
+	}
+	log.Info("started", "name", cfg.Name, "listen", cfg.Listen)
 	return k, nil
 }
 
@@ -123,14 +138,19 @@
 	begun := time.Now()
 	k.log.Info("ending")
 	k.front.ready.Store(false)
-	k.server.Finish()
+	var ends []ender
+	if k.server != nil {
+		ends = append(ends, k.server)
+	}
 	for _, x := range k.extras {
+		ends = append(ends, x)
+	}
+	for _, x := range ends {
 		x.Finish()
 	}
 	idle := k.core.Finish(begun.Add(answerOn))
 	time.Sleep(acceptOn)
-	k.server.StopListening()
-	for _, x := range k.extras {
+	for _, x := range ends {
 		x.StopListening()
 	}
 	select {
@@ -138,10 +158,33 @@
 	case <-time.After(time.Until(begun.Add(endingLimit))):
 		k.log.Error("ended with queries open")
 	}
-	k.server.Wait(max(50*time.Millisecond, time.Until(begun.Add(endingLimit))))
+	for _, x := range ends {
+		x.Wait(max(50*time.Millisecond, time.Until(begun.Add(endingLimit))))
+	}
+	k.halt()
+	k.log.Info("ended", "took", time.Since(begun))
+}
+
+// Close ends at once, as a test wants it.
+func (k *Coordinator) Close() {
+	if k.server != nil {
+		k.server.Finish()
+		k.server.StopListening()
+	}
+	for _, x := range k.extras {
+		x.Finish()
+		x.StopListening()
+	}
+	k.halt()
+}
+
+// halt ends the goroutines that are not connections.
+func (k *Coordinator) halt() {
 	close(k.stop)
 	k.core.Close()
-	k.log.Info("ended", "took", time.Since(begun))
+	if k.peers != nil {
+		_ = k.peers.c.Close()
+	}
 }
 
 // watcher follows discovery.
--- /dev/null
+++ b/internal/promql/front.go
@@ -0,0 +1,742 @@
+package promql
+
+// The front and the way to the servers. This file owns the file of settings, the listener's requests, and
+// the connections to the servers; it must never choose a server, ask one again, or end a query: all that
+// comes from the core.
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"net/url"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"lapislever/balance"
+	"lapislever/internal/core"
+	lnet "lapislever/internal/net"
+)
+
+const (
+	rangePath  = "/api/v1/query_range"
+	maxReply   = 8 << 20  // of one server
+	maxHeld    = 24 << 20 // of all replies that wait for their query's end
+	maxIdle    = 32       // connections kept to one server
+	idleShare  = 0.7      // of the idle limit, after which a connection is not used again
+	writeLimit = 300 * time.Millisecond
+	readSlack  = 100 * time.Millisecond // the core's own time-out comes first
+)
+
+// Server is one server of range queries.
+type Server struct {
+	Name    string   `toml:"name"`
+	Address string   `toml:"address"` // host:port, or a URL with a path before /api
+	Zone    string   `toml:"zone"`
+	Cell    int      `toml:"cell"`
+	Share   *float64 `toml:"share"`
+}
+
+// Config is the front's file.
+type Config struct {
+	Listen     string         `toml:"listen"`
+	Class      string         `toml:"class"`
+	ShardLabel string         `toml:"shard_label"` // of the series, naming their shard, where there is one
+	Zone       string         `toml:"zone"`        // ours, where there is no platform to tell
+	Shards     int            `toml:"shards"`      // where there is no platform to tell
+	Reach      int            `toml:"reach"`
+	Servers    []Server       `toml:"server"`
+	Settings   map[string]any `toml:"settings"` // over the defaults, where there is no platform
+}
+
+// ParseConfig reads the front's file. Unknown keys are errors, as a misspelt one would be lost unseen.
+func ParseConfig(text string) (*Config, error) {
+	c := &Config{}
+	meta, err := toml.Decode(text, c)
+	if err != nil {
+		return nil, err
+	}
+	for _, k := range meta.Undecoded() {
+		return nil, fmt.Errorf("unknown key %s", k)
+	}
+	if c.Listen == "" {
+		return nil, errors.New("listen is missing")
+	}
+	if c.Class == "" {
+		c.Class = "day-report"
+	}
+	if len(c.Servers) == 0 {
+		return nil, errors.New("no [[server]] is given")
+	}
+	seen := map[string]bool{}
+	for i, s := range c.Servers {
+		if s.Name == "" || seen[s.Name] {
+			return nil, fmt.Errorf("server %d: its name is missing or taken", i+1)
+		}
+		seen[s.Name] = true
+		if _, _, err := splitAddress(s.Address); err != nil {
+			return nil, fmt.Errorf("server %s: %w", s.Name, err)
+		}
+		if s.Cell < 0 || s.Share != nil && !(*s.Share > 0 && *s.Share < math.MaxFloat32) {
+			return nil, fmt.Errorf("server %s: cell or share is not possible", s.Name)
+		}
+	}
+	return c, nil
+}
+
+// LoadConfig reads the front's file.
+func LoadConfig(path string) (*Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	c, err := ParseConfig(string(text))
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+// splitAddress reads host:port, or http://host:port/path.
+func splitAddress(text string) (hostPort, path string, err error) {
+	if !strings.Contains(text, "://") {
+		text = "http://" + text
+	}
+	u, err := url.Parse(text)
+	if err != nil || u.Scheme != "http" || u.Host == "" || u.RawQuery != "" || u.User != nil {
+		return "", "", fmt.Errorf("address %q is not host:port or http://host:port/path", text)
+	}
+	hostPort = u.Host
+	if u.Port() == "" {
+		hostPort += ":80"
+	}
+	return hostPort, strings.TrimSuffix(u.EscapedPath(), "/"), nil
+}
+
+// Standalone is the settings object, in the platform's names, for a start without the platform.
+func (c *Config) Standalone() map[string]any {
+	cells := 1
+	var zones []any
+	for _, s := range c.Servers {
+		cells = max(cells, s.Cell+1)
+		if !slices.Contains(zones, any(s.Zone)) {
+			zones = append(zones, s.Zone)
+		}
+	}
+	shards := c.Shards
+	if shards <= 0 {
+		shards = cells
+	}
+	all := map[string]any{
+		"azs": zones, "zone": max(0, slices.Index(zones, any(c.Zone))), "peersTotal": 1, "me": 0,
+		"quantumUs": 5000, "membershipMode": "automatic",
+		"extra": map[string]any{"places": cells, "slices": shards, "reach": max(1, c.Reach)},
+		"bounds": map[string]any{"cancel": true, "secondCopies": true, "sendCap": 4, "probes": true,
+			"retryAfter": true, "maxRetryAfterUs": 2_000_000, "connIdleUs": 15_000_000,
+			"dialTimeoutUs": 250_000, "maxOpen": max(256, 8*(shards+1))},
+		"lanes": []any{map[string]any{"name": c.Class, "goalTimeUs": 3_000_000, "hardLimitUs": 10_000_000,
+			"idempotency": "read_like", "worth": 5, "lateWorth": 0}},
+	}
+	overlay(all, c.Settings)
+	return all
+}
+
+func overlay(under, over map[string]any) {
+	for k, v := range over {
+		a, ok1 := under[k].(map[string]any)
+		b, ok2 := v.(map[string]any)
+		if ok1 && ok2 {
+			overlay(a, b)
+		} else {
+			under[k] = v
+		}
+	}
+}
+
+// Place is what the front has to know of where it runs.
+type Place struct {
+	Classes     []string
+	Settings    balance.Settings
+	Zones       []string
+	Shards      int
+	DialTimeout time.Duration
+	ConnIdle    time.Duration
+	Alone       bool // there is no discovery: the file's servers are the list
+	Log         *slog.Logger
+}
+
+// Front is the front and the backend of its queries.
+type Front struct {
+	cfg      *Config
+	place    Place
+	class    int
+	servers  map[balance.ReplicaID]*server
+	core     *core.Core
+	budget   *lnet.Budget
+	listener *lnet.Server
+	held     atomic.Int64
+	number   atomic.Uint64
+	ending   atomic.Bool
+	mu       sync.Mutex
+	flights  map[*core.Attempt]*flight
+}
+
+type server struct {
+	name, addr, path string
+	mu               sync.Mutex
+	idle             []*lnet.Client
+}
+
+// New checks a file against where it is to run.
+func New(cfg *Config, p Place) (*Front, error) {
+	f := &Front{cfg: cfg, place: p, class: slices.Index(p.Classes, cfg.Class),
+		servers: map[balance.ReplicaID]*server{}, flights: map[*core.Attempt]*flight{}}
+	if f.class < 0 {
+		return nil, fmt.Errorf("class %q is not among the settings'", cfg.Class)
+	}
+	if p.Settings.Classes[f.class].Effect != balance.Safe {
+		return nil, fmt.Errorf("class %q is not safe to repeat, as range queries are", cfg.Class)
+	}
+	if p.Shards < 1 || p.Shards > 4096 {
+		return nil, fmt.Errorf("%d shards are not possible", p.Shards)
+	}
+	for _, s := range cfg.Servers {
+		addr, path, err := splitAddress(s.Address)
+		if err != nil {
+			return nil, err
+		}
+		if p.Alone && s.Cell >= p.Settings.Cells {
+			return nil, fmt.Errorf("server %s: there is no cell %d", s.Name, s.Cell)
+		}
+		f.servers[core.ServerID(s.Name)] = &server{name: s.Name, addr: addr, path: path}
+	}
+	return f, nil
+}
+
+// Backend takes the front's parts to their servers.
+func (f *Front) Backend() core.Backend { return f }
+
+// Start begins to serve.
+func (f *Front) Start(c *core.Core, budget *lnet.Budget) error {
+	f.core, f.budget = c, budget
+	l, err := lnet.Listen(f.cfg.Listen, budget, f.place.Log, f.serve)
+	if err != nil {
+		return err
+	}
+	f.listener = l
+	if f.place.Alone {
+		var list []balance.Replica
+		for _, s := range f.cfg.Servers {
+			size := 1.0
+			if s.Share != nil {
+				size = *s.Share
+			}
+			list = append(list, balance.Replica{ID: core.ServerID(s.Name), Cell: s.Cell, State: balance.Ready,
+				Zone: slices.Index(f.place.Zones, s.Zone), Size: size})
+		}
+		c.Post(core.Listed{Mode: balance.Full, Replicas: list})
+	}
+	go l.Serve()
+	return nil
+}
+
+// Addr is the address that clients reach.
+func (f *Front) Addr() string { return f.listener.Addr() }
+
+// Finish lets every reply end its connection.
+func (f *Front) Finish() {
+	f.ending.Store(true)
+	f.listener.Finish()
+}
+
+// StopListening closes the listener.
+func (f *Front) StopListening() { f.listener.StopListening() }
+
+// Wait waits until every connection has ended.
+func (f *Front) Wait(most time.Duration) bool { return f.listener.Wait(most) }
+
+func errorReply(e *apiError) lnet.Response {
+	b, err := json.Marshal(envelope{Status: "error", ErrorType: e.kind, Error: e.err.Error()})
+	if err != nil {
+		return lnet.Response{Status: 500}
+	}
+	return lnet.Response{Status: e.status, Type: "application/json", Body: b}
+}
+
+// unavailable is a refusal. Retry-After is in whole seconds, as HTTP has it.
+func unavailable(kind string, after time.Duration, err error) lnet.Response {
+	r := errorReply(&apiError{503, kind, err})
+	r.Header = [][2]string{{"Retry-After", strconv.Itoa(max(1, int(math.Ceil(after.Seconds()))))}}
+	return r
+}
+
+// serve takes one request.
+func (f *Front) serve(r *lnet.Request, x *lnet.Exchange) func() {
+	switch r.Path {
+	case "/-/healthy", "/-/ready":
+		if r.Path == "/-/ready" && f.ending.Load() {
+			x.Reply(lnet.Response{Status: 503, Body: []byte("ending\n")})
+		} else {
+			x.Reply(lnet.Response{Status: 200, Body: []byte("ok\n")})
+		}
+		return nil
+	case rangePath:
+	default:
+		x.Reply(errorReply(&apiError{404, "not_found", fmt.Errorf("%s is not served here", r.Path)}))
+		return nil
+	}
+	values, bad := form(r)
+	if bad == nil {
+		var q *rangeQuery
+		if q, bad = parseQuery(values, f.cfg.ShardLabel); bad == nil {
+			return f.submit(q, r, x)
+		}
+	}
+	f.place.Log.Warn("bad range query", "status", bad.status, "why", bad.err)
+	reply := errorReply(bad)
+	if bad.status == 405 {
+		reply.Header = [][2]string{{"Allow", "GET, POST"}}
+	}
+	x.Reply(reply)
+	return nil
+}
+
+// form reads the parameters of the URL and, of a POST, of the body, which come first.
+func form(r *lnet.Request) (url.Values, *apiError) {
+	values, err := url.ParseQuery(r.Query)
+	if err != nil {
+		return nil, badData("malformed parameters: %w", err)
+	}
+	switch r.Method {
+	case "GET":
+		return values, nil
+	case "POST":
+	default:
+		return nil, &apiError{405, "bad_data", fmt.Errorf("%s is not allowed here", r.Method)}
+	}
+	kind, _, _ := strings.Cut(r.Header.Get("Content-Type"), ";")
+	if len(r.Body) > 0 && !strings.EqualFold(strings.TrimSpace(kind), "application/x-www-form-urlencoded") {
+		return nil, &apiError{415, "bad_data", fmt.Errorf("a body of type %q cannot be read", kind)}
+	}
+	body, err := url.ParseQuery(string(r.Body))
+	if err != nil {
+		return nil, badData("malformed parameters: %w", err)
+	}
+	for k, v := range values {
+		body[k] = append(body[k], v...)
+	}
+	return body, nil
+}
+
+// submit hands a query to the core: one part for each shard.
+func (f *Front) submit(q *rangeQuery, r *lnet.Request, x *lnet.Exchange) func() {
+	wait := time.Duration(f.place.Settings.Classes[f.class].Deadline) * time.Microsecond
+	if q.timeout > 0 {
+		wait = min(wait, q.timeout)
+	}
+	j := &job{f: f, q: q, x: x, deadline: r.At.Add(wait)}
+	cq := &core.Query{Name: "range-" + strconv.FormatUint(f.number.Add(1), 10), Class: f.class,
+		Deadline: j.deadline, Client: j, Via: f, Data: j}
+	for s := range f.place.Shards {
+		cq.Parts = append(cq.Parts, core.PartSpec{Shard: s, Weight: 1})
+	}
+	if !f.core.Submit(cq) {
+		j.Final(core.Final{Ending: core.Refused, RetryAfter: f.core.FullAdvice()})
+		return nil
+	}
+	return func() {
+		j.close()
+		f.core.Post(core.Gone{Query: cq})
+	}
+}
+
+// job is a query's client, and what its parts' replies take of the memory for them.
+type job struct {
+	f        *Front
+	q        *rangeQuery
+	x        *lnet.Exchange
+	deadline time.Time
+	mu       sync.Mutex
+	held     int64
+	closed   bool
+	refused  *serverError // some server's word that this cannot be computed
+}
+
+// keep books memory that lives until the query's end. It returns false once that has come.
+func (j *job) keep(n int64) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.closed {
+		return false
+	}
+	j.held += n
+	return true
+}
+
+func (j *job) close() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if !j.closed {
+		j.closed = true
+		j.f.held.Add(-j.held)
+	}
+}
+
+// Final replies. The core's goroutine calls it, so that what takes time is done elsewhere.
+func (j *job) Final(f core.Final) {
+	switch f.Ending {
+	case core.Answered:
+		go func() {
+			defer j.close()
+			j.x.Reply(j.answer(f))
+		}()
+		return
+	case core.Refused:
+		j.mu.Lock()
+		word := j.refused
+		j.mu.Unlock()
+		switch {
+		case word != nil:
+			j.x.Reply(errorReply(&apiError{422, "execution", word}))
+		case !time.Now().Before(j.deadline.Add(-20 * time.Millisecond)):
+			j.x.Reply(unavailable("timeout", f.RetryAfter, errors.New("the query's time is over")))
+		default:
+			j.x.Reply(unavailable("unavailable", f.RetryAfter,
+				errors.New("not every shard can answer now: refused rather than thin")))
+		}
+	default:
+		j.x.Reply(unavailable("timeout", j.f.core.FullAdvice(), errors.New("the query was not decided in time")))
+	}
+	j.close()
+}
+
+// answer merges the shards' results. What is missing or in conflict is never left out without a word: the
+// query is refused, or, where the class's floor allows it, its answer is marked partial.
+func (j *job) answer(f core.Final) lnet.Response {
+	parts := make([]*shardResult, 0, len(f.Values))
+	for _, v := range f.Values {
+		if r, ok := v.Data.(*shardResult); ok {
+			parts = append(parts, r)
+		}
+	}
+	p := &j.q.plan
+	all, conflicts := merge(parts, p.selects && p.label != "")
+	var warnings []string
+	if len(conflicts) > 0 {
+		out := map[int]bool{}
+		for _, c := range conflicts {
+			out[c.a], out[c.b] = true, true
+			warnings = append(warnings, fmt.Sprintf("shards %d and %d differ on series %s", c.a, c.b, c.labels))
+		}
+		j.f.place.Log.Warn("shards differ", "conflicts", len(conflicts), "first", warnings[0])
+		parts = slices.DeleteFunc(parts, func(r *shardResult) bool { return out[r.shard] })
+		all, _ = merge(parts, false)
+		warnings = warnings[:min(len(warnings), 10)]
+	}
+	if missing := j.missing(parts); len(missing) > 0 {
+		share := float64(len(parts)) / float64(j.f.place.Shards)
+		if floor := j.f.place.Settings.Classes[j.f.class].Floor; len(parts) == 0 || share < floor-1e-9 {
+			return unavailable("unavailable", j.f.core.FullAdvice(),
+				fmt.Errorf("shards %v are missing or in conflict: refused rather than thin", missing))
+		}
+		warnings = append([]string{fmt.Sprintf("partial answer: %d of %d shards are missing: %v",
+			len(missing), j.f.place.Shards, missing)}, warnings...)
+	}
+	all = p.apply(all)
+	if j.q.limit > 0 && len(all) > j.q.limit {
+		all = all[:j.q.limit]
+		warnings = append(warnings, "results truncated due to limit")
+	}
+	var infos []string
+	for _, r := range parts {
+		for _, text := range r.infos {
+			if !slices.Contains(infos, text) {
+				infos = append(infos, text)
+			}
+		}
+	}
+	body, err := encode(all, warnings, infos)
+	if err != nil {
+		return errorReply(&apiError{500, "internal", err})
+	}
+	return lnet.Response{Status: 200, Type: "application/json", Body: body}
+}
+
+// missing are the shards that nothing is in from.
+func (j *job) missing(parts []*shardResult) []int {
+	in := map[int]bool{}
+	for _, r := range parts {
+		in[r.shard] = true
+	}
+	var out []int
+	for s := range j.f.place.Shards {
+		if !in[s] {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// flight is one attempt on its way.
+type flight struct {
+	f         *Front
+	a         *core.Attempt
+	s         *server
+	mu        sync.Mutex
+	c         *lnet.Client
+	began     bool // something of the request may have been written
+	cancelled bool
+	granted   int64
+}
+
+// Send starts the attempts of a call; each is a request of its own.
+func (f *Front) Send(to balance.ReplicaID, call []*core.Attempt) bool {
+	s := f.servers[to]
+	if s == nil {
+		f.place.Log.Warn("no range-query address is known", "server", uint64(to))
+		return false
+	}
+	for _, a := range call {
+		fl := &flight{f: f, a: a, s: s}
+		f.mu.Lock()
+		f.flights[a] = fl
+		f.mu.Unlock()
+		go fl.run()
+	}
+	return true
+}
+
+// Withdraw ends an attempt: its connection is closed, as HTTP knows no other way.
+func (f *Front) Withdraw(a *core.Attempt) bool {
+	f.mu.Lock()
+	fl := f.flights[a]
+	f.mu.Unlock()
+	if fl == nil {
+		return false
+	}
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.cancelled = true
+	if fl.c != nil {
+		fl.c.Close()
+	}
+	return !fl.began
+}
+
+// Stop withdraws what is not begun.
+func (f *Front) Stop(to balance.ReplicaID) []*core.Attempt {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var back []*core.Attempt
+	for a, fl := range f.flights {
+		if a.Replica == to {
+			fl.mu.Lock()
+			if !fl.began && !fl.cancelled {
+				fl.cancelled = true
+				back = append(back, a)
+			}
+			fl.mu.Unlock()
+		}
+	}
+	return back
+}
+
+// CloseIdle closes connections that carry nothing.
+func (f *Front) CloseIdle(to balance.ReplicaID) {
+	if s := f.servers[to]; s != nil {
+		s.mu.Lock()
+		idle := s.idle
+		s.idle = nil
+		s.mu.Unlock()
+		for _, c := range idle {
+			f.drop(c)
+		}
+	}
+}
+
+func (f *Front) drop(c *lnet.Client) {
+	c.Close()
+	f.budget.Release()
+}
+
+// Probe asks a server whether it is healthy. Where the platform's nodes are known by frames, those are
+// probed.
+func (f *Front) Probe(to balance.ReplicaID) bool {
+	s := f.servers[to]
+	if s == nil {
+		return false
+	}
+	go func() {
+		at, o := time.Now(), balance.NoConnection
+		until := at.Add(f.place.DialTimeout)
+		if c := f.connect(s, f.place.DialTimeout); c != nil {
+			o = balance.Error
+			reply, err := c.Do("GET", s.path+"/-/healthy", s.addr, nil, nil, until)
+			if err == nil && reply.Status == 200 {
+				o = balance.OK
+			}
+			f.put(s, c)
+		}
+		f.core.Post(core.ProbeDone{Replica: to, Outcome: o, Elapsed: time.Since(at)})
+	}()
+	return true
+}
+
+// connect takes an idle connection that is fresh enough, or opens one.
+func (f *Front) connect(s *server, timeout time.Duration) *lnet.Client {
+	limit := time.Duration(idleShare * float64(f.place.ConnIdle))
+	s.mu.Lock()
+	var c *lnet.Client
+	var old []*lnet.Client
+	for len(s.idle) > 0 && c == nil {
+		last := s.idle[len(s.idle)-1]
+		s.idle = s.idle[:len(s.idle)-1]
+		if time.Since(last.Idle) < limit {
+			c = last
+		} else {
+			old = append(old, last)
+		}
+	}
+	s.mu.Unlock()
+	for _, x := range old {
+		f.drop(x)
+	}
+	if c != nil {
+		return c
+	}
+	if !f.budget.TakeServer() {
+		f.place.Log.Warn("no descriptor is left for a server", "server", s.name)
+		return nil
+	}
+	c, err := lnet.Dial(s.addr, timeout, maxReply)
+	if err != nil {
+		f.budget.Release()
+		return nil
+	}
+	return c
+}
+
+// put keeps a connection that may go on.
+func (f *Front) put(s *server, c *lnet.Client) {
+	if c.Grant = nil; c.Sound() {
+		s.mu.Lock()
+		keep := len(s.idle) < maxIdle
+		if keep {
+			s.idle = append(s.idle, c)
+		}
+		s.mu.Unlock()
+		if keep {
+			return
+		}
+	}
+	f.drop(c)
+}
+
+// run carries an attempt to its end.
+func (fl *flight) run() {
+	o, v := fl.fly()
+	fl.f.mu.Lock()
+	delete(fl.f.flights, fl.a)
+	fl.f.mu.Unlock()
+	fl.mu.Lock()
+	cancelled := fl.cancelled
+	fl.mu.Unlock()
+	// What the reply took is given back now, or with the query's end if it is part of that.
+	if o != balance.OK || cancelled || !fl.a.Query.Data.(*job).keep(fl.granted) {
+		fl.f.held.Add(-fl.granted)
+	}
+	if !cancelled {
+		fl.f.core.Post(core.Outcome{Attempt: fl.a, Outcome: o, Value: v})
+	}
+}
+
+// grant takes memory for a reply.
+func (fl *flight) grant(n int) bool {
+	if fl.f.held.Add(int64(n)) > maxHeld {
+		fl.f.held.Add(int64(-n))
+		return false
+	}
+	fl.granted += int64(n)
+	return true
+}
+
+// fly sends the request and reads the reply.
+func (fl *flight) fly() (balance.Outcome, core.Value) {
+	f, j := fl.f, fl.a.Query.Data.(*job)
+	begun := time.Now()
+	c := f.connect(fl.s, f.place.DialTimeout)
+	if c == nil {
+		return balance.NoConnection, core.Value{}
+	}
+	fl.mu.Lock()
+	if fl.cancelled {
+		fl.mu.Unlock()
+		f.put(fl.s, c)
+		return balance.NotSent, core.Value{}
+	}
+	fl.c, fl.began = c, true
+	fl.mu.Unlock()
+	c.Grant = fl.grant
+	until := begun.Add(fl.a.Timeout)
+	body := j.q.form(fl.a.Shard, time.Until(until)).Encode()
+	head := [][2]string{{"Content-Type", "application/x-www-form-urlencoded"}, {"Accept", "application/json"}}
+	err := c.Write("POST", fl.s.path+rangePath, fl.s.addr, head, []byte(body), time.Now().Add(writeLimit))
+	if err != nil { // its last byte was not written: it never ran
+		fl.leave()
+		return balance.NoConnection, core.Value{}
+	}
+	reply, err := c.Read(until.Add(readSlack))
+	fl.leave()
+	if err != nil {
+		f.place.Log.Debug("no reply from a server", "server", fl.s.name, "err", err)
+		var bad *lnet.BadMessage
+		if errors.As(err, &bad) {
+			return balance.Error, core.Value{}
+		}
+		return balance.Reset, core.Value{}
+	}
+	if reply.Status == 429 {
+		return balance.Busy, core.Value{}
+	}
+	r, err := readReply(reply.Status, reply.Body, j.q)
+	if err != nil {
+		f.place.Log.Warn("a server's reply is not used", "server", fl.s.name, "shard", fl.a.Shard, "why", err)
+		var word *serverError
+		if errors.As(err, &word) {
+			j.mu.Lock()
+			j.refused = word
+			j.mu.Unlock()
+		}
+		return balance.Error, core.Value{}
+	}
+	r.shard = fl.a.Shard
+	return balance.OK, core.Value{Data: r}
+}
+
+// leave parts from the connection, so that a withdrawal that comes later closes nothing of others.
+func (fl *flight) leave() {
+	fl.mu.Lock()
+	c := fl.c
+	fl.c = nil
+	fl.mu.Unlock()
+	fl.f.put(fl.s, c)
+}
+
+// form is the request to one server. The end is the client's own, as the expression may refer to it.
+func (q *rangeQuery) form(shard int, left time.Duration) url.Values {
+	seconds := func(ms int64) string { return strconv.FormatFloat(float64(ms)/1000, 'f', -1, 64) }
+	v := url.Values{"query": {q.plan.text(shard)}, "start": {seconds(q.start)}, "end": {seconds(q.end)},
+		"step": {seconds(q.step)}, "timeout": {seconds(max(1, left.Milliseconds()))}}
+	if q.lookback != "" {
+		v.Set("lookback_delta", q.lookback)
+	}
+	return v
+}
--- /dev/null
+++ b/internal/promql/query_test.go
@@ -0,0 +1,141 @@
+package promql
+
+import (
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+)
+
+func values(t *testing.T, s string) url.Values {
+	t.Helper()
+	v, err := url.ParseQuery(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
+
+func TestParseQuery(t *testing.T) {
+	for s, want := range map[string]rangeQuery{
+		"start=0&end=60&step=30":     {start: 0, end: 60000, step: 30000},
+		"start=1.5&end=1.5&step=1ms": {start: 1500, end: 1500, step: 1},
+		"start=2015-07-01T20:10:51.781Z&end=1435781460&step=15s": {start: 1435781451781, end: 1435781460000,
+			step: 15000},
+		"start=0&end=10999&step=1": {end: 10999000, step: 1000},
+		"start=0&end=1&step=1m&timeout=2m&limit=3": {end: 1000, step: 60000,
+			timeout: 2 * time.Minute, limit: 3},
+	} {
+		q, err := parseQuery(values(t, "query=m&"+s), "")
+		if err != nil {
+			t.Errorf("%s: %v", s, err.err)
+			continue
+		}
+		q.plan = plan{}
+		if q.start != want.start || q.end != want.end || q.step != want.step || q.timeout != want.timeout ||
+			q.limit != want.limit {
+			t.Errorf("%s: %+v", s, q)
+		}
+	}
+}
+
+func TestParseQueryRefuses(t *testing.T) {
+	for s, want := range map[string]string{
+		"query=m&end=1&step=1":                          "start",
+		"query=m&start=x&end=1&step=1":                  "start",
+		"query=m&start=NaN&end=1&step=1":                "start",
+		"query=m&start=1e30&end=1&step=1":               "start",
+		"query=m&start=2&end=1&step=1":                  "end timestamp must not be before start",
+		"query=m&start=0&end=1":                         "step",
+		"query=m&start=0&end=1&step=0":                  "zero or negative",
+		"query=m&start=0&end=1&step=-5":                 "zero or negative",
+		"query=m&start=0&end=1&step=0.0001":             "milliseconds",
+		"query=m&start=0&end=1&step=Inf":                "step",
+		"query=m&start=0&end=11000&step=1":              "11,000 points",
+		"query=m&start=0&end=1&step=1&timeout=soon":     "timeout",
+		"query=m&start=0&end=1&step=1&timeout=-1":       "timeout",
+		"query=m&start=0&end=1&step=1&limit=-1":         "limit",
+		"query=m&start=0&end=1&step=1&lookback_delta=x": "lookback_delta",
+		"start=0&end=1&step=1":                          "query",
+		"query=m[5m]&start=0&end=1&step=1":              "range query",
+		`query="text"&start=0&end=1&step=1`:             "range query",
+	} {
+		_, err := parseQuery(values(t, s), "")
+		if err == nil || err.status != 400 || err.kind != "bad_data" || !strings.Contains(err.err.Error(), want) {
+			t.Errorf("%s: %+v", s, err)
+		}
+	}
+}
+
+func TestWhatIsRightOverShards(t *testing.T) {
+	for s, sent := range map[string]string{
+		`m`:                             `m`,
+		`rate(m{a="b"}[5m])`:            `rate(m{a="b"}[5m])`,
+		`sum(rate(m[5m]))`:              `rate(m[5m])`,
+		`(avg by (a) (m offset 5m))`:    `m offset 5m`,
+		`max_over_time(m[1h:1m])`:       `max_over_time(m[1h:1m])`,
+		`2 * m > bool 1`:                `2 * m > bool 1`,
+		`m @ end()`:                     `m @ end()`,
+		`time()`:                        `time()`,
+		`count({__name__=~"a|b"})`:      `{__name__=~"a|b"}`,
+		`-abs(m)`:                       `-abs(m)`,
+		`min without () (clamp(m,1,2))`: `clamp(m, 1, 2)`,
+	} {
+		q, err := parseQuery(url.Values{"query": {s}, "start": {"0"}, "end": {"1"}, "step": {"1"}}, "")
+		if err != nil {
+			t.Errorf("%s: %v", s, err.err)
+		} else if got := q.plan.text(3); got != sent {
+			t.Errorf("%s: a shard is asked for %s, want %s", s, got, sent)
+		}
+	}
+}
+
+func TestWhatCannotBeRightOverShardsIsRefused(t *testing.T) {
+	for _, s := range []string{`a / b`, `a and b`, `a or vector(0)`, `topk(3, m)`, `quantile(0.9, m)`,
+		`stddev(m)`, `count_values("x", m)`, `sum(sum by (a) (m))`, `sum(m) / 2`, `rate(m[5m]) + sum(m)`,
+		`absent(m)`, `absent_over_time(m[5m])`, `scalar(m)`, `m > scalar(n)`, `vector(scalar(m))`,
+		`histogram_quantile(0.9, rate(m_bucket[5m]))`, `label_replace(m, "a", "b", "c", "d")`,
+		`label_join(m, "a", ",", "b")`, `sum(a or b)`, `max_over_time(sum(m)[1h:1m])`, `group(m)`,
+		`rate({__name__=~"a|b"}[5m])`, `sum({k="1"} * 2)`, `-{k="1"}`} {
+		_, err := parseQuery(url.Values{"query": {s}, "start": {"0"}, "end": {"1"}, "step": {"1"}}, "")
+		if err == nil || err.status != 422 || err.kind != "execution" {
+			t.Errorf("%s: %+v", s, err)
+		}
+	}
+}
+
+// With a label that names the shard each shard is asked for its own series alone.
+func TestShardLabel(t *testing.T) {
+	q, err := parseQuery(url.Values{"query": {`sum(rate({k="1"}[5m]))`}, "start": {"0"}, "end": {"1"},
+		"step": {"1"}}, "shard")
+	if err != nil {
+		t.Fatal(err.err)
+	}
+	if got := q.plan.text(7); got != `rate({k="1",shard="7"}[5m])` {
+		t.Fatal(got)
+	}
+	if got := q.plan.text(8); got != `rate({k="1",shard="8"}[5m])` {
+		t.Fatal(got)
+	}
+}
+
+func TestParseConfigRefuses(t *testing.T) {
+	const server = "\n[[server]]\nname = \"a\"\naddress = \"127.0.0.1:1\"\n"
+	for s, want := range map[string]string{
+		``:                       "listen",
+		`listen = "127.0.0.1:1"`: "server",
+		`listen = "127.0.0.1:1"` + "\nlisten_on = 3" + server:                           "listen_on",
+		`listen = "127.0.0.1:1"` + server + server:                                      "taken",
+		`listen = "127.0.0.1:1"` + strings.Replace(server, "127.0.0.1:1", "ftp://x", 1): "address",
+		`listen = "127.0.0.1:1"` + server + "cell = -1":                                 "cell",
+		`listen = "127.0.0.1:1"` + server + "share = 0.0":                               "share",
+	} {
+		if _, err := ParseConfig(s); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", s, err)
+		}
+	}
+	c, err := ParseConfig(`listen = "127.0.0.1:1"` + server)
+	if err != nil || c.Class != "day-report" {
+		t.Fatalf("%+v %v", c, err)
+	}
+}
--- /dev/null
+++ b/internal/standin/standin.go
@@ -0,0 +1,224 @@
+// Package standin has the stand-ins that tests talk to on loopback: clients, servers of range queries, data
+// nodes and discovery, written from the public descriptions. Tests alone use it; it must never be linked
+// into the coordinator.
+package standin
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/url"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	lnet "lapislever/internal/net"
+)
+
+// Quiet is a log that nobody reads.
+func Quiet() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+
+// Call sends one request on a connection of its own.
+func Call(t testing.TB, addr, method, target string, header [][2]string, body string) *lnet.Reply {
+	t.Helper()
+	c, err := lnet.Dial(addr, 5*time.Second, 1<<20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	var b []byte
+	if body != "" {
+		b = []byte(body)
+	}
+	r, err := c.Do(method, target, addr, header, b, time.Now().Add(20*time.Second))
+	if err != nil {
+		t.Fatalf("%s %s: %v", method, target, err)
+	}
+	return r
+}
+
+// HTTP is a stand-in server; a reply without a status is withheld. Silent ends tell how many of the clients
+// whose reply was withheld have left.
+type HTTP struct {
+	Addr string
+	mu   sync.Mutex
+	seen []string
+	gone int
+}
+
+// NewHTTP starts a stand-in server that answers by f. Of a form the parameters are handed over.
+func NewHTTP(t testing.TB, f func(path string, v url.Values) (int, string)) *HTTP {
+	t.Helper()
+	h := &HTTP{}
+	l, err := lnet.Listen("127.0.0.1:0", lnet.NewBudget(100, 0), Quiet(),
+		func(r *lnet.Request, x *lnet.Exchange) func() {
+			v, _ := url.ParseQuery(r.Query + "&" + string(r.Body))
+			h.mu.Lock()
+			h.seen = append(h.seen, r.Path+"?"+v.Encode())
+			h.mu.Unlock()
+			if status, body := f(r.Path, v); status > 0 {
+				x.Reply(lnet.Response{Status: status, Type: "application/json", Body: []byte(body)})
+			}
+			return func() {
+				h.mu.Lock()
+				h.gone++
+				h.mu.Unlock()
+			}
+		})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go l.Serve()
+	t.Cleanup(l.StopListening)
+	h.Addr = l.Addr()
+	return h
+}
+
+// Seen are the requests so far, as path and sorted parameters.
+func (h *HTTP) Seen() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]string(nil), h.seen...)
+}
+
+// Gone counts the clients that left before their reply.
+func (h *HTTP) Gone() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.gone
+}
+
+// Until waits for something that must come, however slow the machine is.
+func Until(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); !ok(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never came: %s", what)
+		}
+	}
+}
+
+// Part is one part as a data node got it.
+type Part struct{ ID, List, Text string }
+
+// Node is a stand-in data node. It hands every frame but the parts' to nobody; each part goes to the
+// function, which returns the end letter and the value, or no letter to withhold the answer.
+type Node struct {
+	Addr   string
+	l      net.Listener
+	mu     sync.Mutex
+	parts  []Part
+	given  []string // ids given up
+	conns  []net.Conn
+	opened int
+}
+
+// NewNode starts a data node.
+func NewNode(t testing.TB, f func(p Part) (end, value string)) *Node {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &Node{Addr: l.Addr().String(), l: l}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			n.mu.Lock()
+			n.conns = append(n.conns, c)
+			n.opened++
+			n.mu.Unlock()
+			go n.serve(c, f)
+		}
+	}()
+	t.Cleanup(func() { n.Close() })
+	return n
+}
+
+// Close ends the node as a dying process does.
+func (n *Node) Close() {
+	_ = n.l.Close()
+	n.Drop()
+}
+
+// Drop resets its connections.
+func (n *Node) Drop() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range n.conns {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+	n.conns = nil
+}
+
+// Parts are the parts so far, Given the ids that were given up, Opened counts connections.
+func (n *Node) Parts() []Part {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return append([]Part(nil), n.parts...)
+}
+
+// Given are the ids that were given up.
+func (n *Node) Given() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return append([]string(nil), n.given...)
+}
+
+// Opened counts the connections so far.
+func (n *Node) Opened() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.opened
+}
+
+// Frame writes one frame.
+func Frame(w io.Writer, rest string) {
+	b := binary.LittleEndian.AppendUint32(nil, uint32(len(rest)))
+	_, _ = w.Write(append(b, rest...))
+}
+
+func (n *Node) serve(c net.Conn, f func(p Part) (end, value string)) {
+	for {
+		var head [4]byte
+		if _, err := io.ReadFull(c, head[:]); err != nil {
+			return
+		}
+		b := make([]byte, binary.LittleEndian.Uint32(head[:]))
+		if _, err := io.ReadFull(c, b); err != nil {
+			return
+		}
+		switch rest := string(b[1:]); b[0] {
+		case '1':
+			for rest != "" {
+				line, more, _ := strings.Cut(rest, "\n")
+				var p Part
+				var shard, size int
+				if _, err := fmt.Sscanf(line, "%s %d %s %d", &p.ID, &shard, &p.List, &size); err != nil {
+					Frame(c, "Xbad line")
+					return
+				}
+				p.Text, rest = more[:size], more[size:]
+				n.mu.Lock()
+				n.parts = append(n.parts, p)
+				n.mu.Unlock()
+				if end, value := f(p); end != "" {
+					Frame(c, fmt.Sprintf("5%s %s 1 qps=5,queue=2\n%s", p.ID, end, value))
+				}
+			}
+		case '2':
+			n.mu.Lock()
+			n.given = append(n.given, rest)
+			n.mu.Unlock()
+		case '3':
+			Frame(c, "3S")
+		}
+	}
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -20,7 +20,8 @@
 	}
 }
 
-// num reads a number; where the key is absent the given value stands, which the wire page says absence means.
+// num reads a number; where the key is absent the given value stands, which the wire page says absence
+// means.
 func (p *params) num(path string, absent float64) float64 {
 	s, ok := p.m[path]
 	if !ok || s == "" {
