--- a/balance/api.go
+++ b/balance/api.go
@@ -186,6 +186,7 @@
 	ProbeResult                  // Replica, Outcome, Elapsed, Report
 	Message                      // From, Data: from a peer
 	Awake                        // a wake-up that was asked for
+	Ending                       // Deadline: this instance ends then, and holds no query beyond it
 )
 
 // Event is something that happened to this instance.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -157,6 +157,7 @@
 		q.aim = b.now + Micros((1-aimMargin)*(float64(c.Aim)+c.AimStretch*float64(e.Hint)))
 		q.aim = min(q.aim, e.Deadline)
 		b.age(q, e.Repeat || !b.s.MarksRepeat)
+		b.limit(q)
 		b.byQuery[q.id], b.byNumber[q.number] = q, q
 		b.queries = append(b.queries, q)
 	case Part:
@@ -188,6 +189,19 @@
 		b.probeEnd(e)
 	case Message:
 		b.hear(e.Data)
+	case Ending:
+		b.until = max(1, e.Deadline)
+		for _, q := range b.queries {
+			b.limit(q)
+		}
+	}
+}
+
+// limit keeps a query within the life of an instance that ends: what is not served by then gets its final
+// answer while there is still somebody to give it.
+func (b *Balancer) limit(q *query) {
+	if b.until > 0 {
+		q.deadline, q.aim = min(q.deadline, b.until), min(q.aim, b.until)
 	}
 }
 
--- a/balance/guards_test.go
+++ b/balance/guards_test.go
@@ -203,3 +203,19 @@
 		t.Fatalf("%d moments kept after 40 s at 100 queries and parts a second", n)
 	}
 }
+
+// An instance that ends answers all that it holds while it still can: neither what it holds nor what still
+// comes is kept beyond its end, however long the client would wait.
+func TestEndingInstanceHoldsNothingBeyondItsEnd(t *testing.T) {
+	k := start(t, settings(), ready(3)...)
+	held := k.query(0, 1)
+	k.step(Event{Kind: Ending, Deadline: k.now + 500*ms})
+	late := k.query(0, 1)
+	done := map[uint32]bool{}
+	for _, a := range of(Refuse, k.wait(500*ms)) {
+		done[a.ID] = a.After > 0
+	}
+	if !done[held] || !done[late] {
+		t.Fatalf("refused with advice: %v, want %d and %d", done, held, late)
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -49,7 +49,8 @@
 	askAt      Micros
 	askGap     Micros // wait after the next failure, twice the last one
 	minAim     float64
-	all        tally // time per part over all replicas
+	until      Micros // no query is held beyond this, as the instance ends; 0: it does not
+	all        tally  // time per part over all replicas
 	free       []*replica
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -48,6 +48,7 @@
 	Values     []Value       // in the order of the parts; those that are in
 	RetryAfter time.Duration // of a refusal: when to come back
 	Overdue    bool          // the time was over before there was a decision
+	NameTaken  bool          // an open query bears the same name
 }
 
 // Client hears the final answer of its query, exactly once, and must not block.
@@ -81,7 +82,6 @@
 	number   float32
 	parts    []*part
 	open     bool
-	overdue  bool
 	deadline balance.Micros
 }
 
@@ -392,8 +392,9 @@
 		c.events = append(c.events, balance.Event{Kind: balance.Message, From: e.From, Data: e.Data})
 	case stopping:
 		c.until = c.clock(e.until)
+		c.events = append(c.events, balance.Event{Kind: balance.Ending, Deadline: c.until})
 		for _, q := range c.queries {
-			heap.Push(&c.timers, timer{at: min(q.deadline, c.until), q: q})
+			heap.Push(&c.timers, timer{at: c.guardAt(q), q: q})
 		}
 	}
 }
@@ -409,7 +410,7 @@
 // begin takes a query and gives the module what it needs to know of it.
 func (c *Core) begin(q *Query) {
 	if c.names[q.Name] != nil { // its parts could not be told from those of the other one
-		q.Client.Final(Final{Ending: Failed})
+		q.Client.Final(Final{Ending: Failed, NameTaken: true})
 		return
 	}
 	if most := c.cfg.Settings.MaxOpen; most > 0 && c.held+1+len(q.Parts) > most {
@@ -417,9 +418,6 @@
 		return
 	}
 	q.open, q.deadline = true, c.clock(q.Deadline)
-	if c.until > 0 {
-		q.deadline = min(q.deadline, c.until)
-	}
 	for c.nextNum++; c.numbers[float32(c.nextNum%numberLimit)]; c.nextNum++ {
 	}
 	q.number = float32(c.nextNum % numberLimit)
@@ -447,7 +445,7 @@
 			Deadline: q.deadline, Repeat: q.Repeat})
 	}
 	c.held += 1 + len(q.Parts)
-	heap.Push(&c.timers, timer{at: q.deadline, q: q})
+	heap.Push(&c.timers, timer{at: c.guardAt(q), q: q})
 }
 
 // freshID returns an id that nothing open bears.
@@ -488,6 +486,7 @@
 // step runs the module once and carries out its actions.
 func (c *Core) step(now balance.Micros) {
 	c.now = now
+	var overdue []*Query
 	for len(c.timers) > 0 && c.timers[0].at <= now {
 		t := heap.Pop(&c.timers).(timer)
 		switch {
@@ -497,12 +496,10 @@
 				o = balance.NotSent
 			}
 			c.settle(t.a, o, nil, nil)
-		case t.q != nil && t.q.open && now >= c.guardAt(t.q):
+		case t.q != nil && t.q.open:
 			// The module answers in time by itself; this guards the rule against whatever keeps it from
 			// that, such as a clock that stood still: an overdue query gets its answer all the same.
-			t.q.overdue = true
-		case t.q != nil && t.q.open:
-			heap.Push(&c.timers, timer{at: c.guardAt(t.q), q: t.q})
+			overdue = append(overdue, t.q)
 		}
 	}
 	if c.wakeAt > 0 && c.wakeAt <= now {
@@ -518,8 +515,8 @@
 		c.cfg.Listed()
 		c.cfg.Listed = nil
 	}
-	for _, q := range c.queries {
-		if q.overdue || c.until > 0 && now >= c.until {
+	for _, q := range overdue {
+		if q.open {
 			c.cfg.Log.Error("query ended without a decision", "query", q.Name)
 			c.events = append(c.events, balance.Event{Kind: balance.ClientGone, ID: q.id})
 			c.final(q, Final{Ending: Failed, Overdue: true})
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,280 @@
+package core
+
+import (
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"lapislever/balance"
+)
+
+// fake is a backend that notes what it is told, and a client that notes its answers.
+type fake struct {
+	mu        sync.Mutex
+	calls     [][]*Attempt
+	withdrawn []*Attempt
+	unsent    bool // what Withdraw says
+	refuses   bool
+	queued    []*Attempt // what Stop gives back
+	probes    int
+	finals    []Final
+}
+
+func (f *fake) Send(_ balance.ReplicaID, call []*Attempt) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls = append(f.calls, call)
+	return !f.refuses
+}
+
+func (f *fake) Withdraw(a *Attempt) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.withdrawn = append(f.withdrawn, a)
+	return f.unsent
+}
+
+func (f *fake) Probe(balance.ReplicaID) bool { f.probes++; return true }
+func (f *fake) CloseIdle(balance.ReplicaID)  {}
+func (f *fake) Stop(balance.ReplicaID) []*Attempt {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.queued
+}
+
+func (f *fake) Final(x Final) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.finals = append(f.finals, x)
+}
+
+const ms = 1000
+
+// settings are a plain deployment: two shards on one cell of two servers.
+func settings() balance.Settings {
+	return balance.Settings{
+		Classes: []balance.Class{{Aim: 1000 * ms, Deadline: 3000 * ms, Worth: 1, Need: 1, Floor: 1}},
+		Tick:    5 * ms, Cells: 1, Reach: 1, BatchMax: 1, MaxAttempts: 3, Peers: 1, CanCancel: true, CanCopy: true,
+		CanAdvise: true, MaxRetryAfter: 1000 * ms, ColdShare: 1, ReportQueue: -1,
+	}
+}
+
+// rig drives a core by hand, without Run: each Step is at a moment of the test's own.
+type rig struct {
+	*Core
+	f  *fake
+	at balance.Micros
+}
+
+func start(t *testing.T, s balance.Settings) *rig {
+	t.Helper()
+	f := &fake{}
+	c, err := New(Config{Settings: s, Seed: 7, Backends: []Backend{f},
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	if err != nil {
+		t.Fatal(err)
+	}
+	k := &rig{Core: c, f: f, at: c.base}
+	k.tell(Listed{Mode: balance.Full, Replicas: []balance.Replica{
+		{ID: 1, State: balance.Ready, Size: 1}, {ID: 2, State: balance.Ready, Size: 1}}})
+	return k
+}
+
+// tell hands in events and steps once.
+func (k *rig) tell(events ...Event) {
+	for _, e := range events {
+		k.take(e)
+	}
+	k.at += 5 * ms
+	k.step(k.at)
+}
+
+// wait steps as time goes by.
+func (k *rig) wait(d balance.Micros) {
+	for end := k.at + d; k.at < end; {
+		k.tell()
+	}
+}
+
+func (k *rig) query(name string, parts int) *Query {
+	q := &Query{Name: name, Deadline: k.epoch.Add(time.Duration(k.at-k.base)*time.Microsecond + 3*time.Second),
+		Client: k.f, Via: k.f}
+	for s := range parts {
+		q.Parts = append(q.Parts, PartSpec{Shard: s, Weight: 2})
+	}
+	return q
+}
+
+func TestAnswerHoldsTheValuesOfAllParts(t *testing.T) {
+	k := start(t, settings())
+	k.tell(k.query("a", 2))
+	if len(k.f.calls) != 2 {
+		t.Fatalf("%d calls", len(k.f.calls))
+	}
+	one, two := k.f.calls[0][0], k.f.calls[1][0]
+	k.tell(Outcome{Attempt: two, Outcome: balance.OK, Value: Value{Body: []byte("v1")}})
+	if len(k.f.finals) != 0 {
+		t.Fatal("answered from half of the parts")
+	}
+	k.tell(Outcome{Attempt: one, Outcome: balance.OK, Value: Value{Body: []byte("v0")}},
+		Outcome{Attempt: one, Outcome: balance.OK, Value: Value{Body: []byte("again")}})
+	if len(k.f.finals) != 1 {
+		t.Fatalf("%d final answers", len(k.f.finals))
+	}
+	f := k.f.finals[0]
+	if f.Ending != Answered || !f.Whole || len(f.Values) != 2 || string(f.Values[0].Body) != "v0" ||
+		f.Values[0].Shard != 0 || string(f.Values[1].Body) != "v1" {
+		t.Fatalf("%+v", f)
+	}
+	if len(k.queries)+len(k.parts)+len(k.names)+len(k.numbers)+k.held != 0 {
+		t.Fatal("something is kept after the end")
+	}
+}
+
+func TestSendsOfOneStepShareACall(t *testing.T) {
+	s := settings()
+	s.BatchMax, s.CallCost = 3, 1
+	k := start(t, s)
+	k.take(k.query("a", 4))
+	k.tell(k.query("b", 1))
+	parts := 0
+	for _, c := range k.f.calls {
+		if parts += len(c); len(c) > 3 {
+			t.Fatalf("a call of %d parts", len(c))
+		}
+		for _, a := range c {
+			if a.Replica != c[0].Replica {
+				t.Fatal("a call to two servers")
+			}
+		}
+	}
+	if parts != 5 || len(k.f.calls) > 3 {
+		t.Fatalf("%d parts in %d calls", parts, len(k.f.calls))
+	}
+}
+
+// A silent server: the attempt ends by its time-out, is withdrawn, and what it answers later is dropped.
+// The query gets its one final answer in time, with advice when to come back.
+func TestTimeOutAndLateAnswer(t *testing.T) {
+	k := start(t, settings())
+	k.tell(k.query("a", 1))
+	first := k.f.calls[0][0]
+	k.wait(3000 * ms)
+	if len(k.f.finals) != 1 || k.f.finals[0].Ending != Refused || k.f.finals[0].RetryAfter <= 0 {
+		t.Fatalf("%+v", k.f.finals)
+	}
+	if len(k.f.withdrawn) != len(k.f.calls) {
+		t.Fatalf("%d of %d attempts withdrawn", len(k.f.withdrawn), len(k.f.calls))
+	}
+	k.tell(Outcome{Attempt: first, Outcome: balance.OK, Value: Value{Body: []byte("late")}})
+	if k.wait(100 * ms); len(k.f.finals) != 1 || len(k.parts) != 0 {
+		t.Fatalf("%+v, %d parts", k.f.finals, len(k.parts))
+	}
+}
+
+// The module's clock may stand still for as long as it likes: an overdue query gets its answer at the next
+// Step.
+func TestOverdueQueryIsAnswered(t *testing.T) {
+	k := start(t, settings())
+	k.tell(k.query("a", 1))
+	k.at += 60_000 * ms
+	if k.tell(); len(k.f.finals) != 1 {
+		t.Fatalf("%+v", k.f.finals)
+	}
+	q := k.query("b", 1)
+	q.Deadline = k.epoch // long past
+	if k.tell(q); len(k.f.finals) != 2 || k.f.finals[1].Ending == Answered {
+		t.Fatalf("%+v", k.f.finals)
+	}
+}
+
+func TestClientThatLeftEndsItsQuery(t *testing.T) {
+	k := start(t, settings())
+	q := k.query("a", 2)
+	k.tell(q)
+	k.tell(Gone{Query: q}, Gone{Query: q})
+	if k.wait(4000 * ms); len(k.f.finals) != 0 || len(k.f.withdrawn) != 2 || len(k.parts) != 0 || k.held != 0 {
+		t.Fatalf("%d answers, %d withdrawn, %d parts", len(k.f.finals), len(k.f.withdrawn), len(k.parts))
+	}
+}
+
+// What is queued for a server that drains is taken back; as it never ran, it goes to another one at once.
+func TestDrainTakesQueuedSendsBack(t *testing.T) {
+	k := start(t, settings())
+	k.tell(k.query("a", 1))
+	a := k.f.calls[0][0]
+	k.f.queued = []*Attempt{a}
+	drains := balance.Replica{ID: a.Replica, State: balance.Draining, Size: 1}
+	k.tell(Listed{Mode: balance.Delta, Replicas: []balance.Replica{drains}})
+	if len(k.f.calls) != 2 || k.f.calls[1][0].Replica == a.Replica {
+		t.Fatalf("%d calls", len(k.f.calls))
+	}
+}
+
+func TestBackendThatCannotQueue(t *testing.T) {
+	k := start(t, settings())
+	k.f.refuses = true
+	k.tell(k.query("a", 1))
+	if k.wait(200 * ms); len(k.f.finals) != 1 || k.f.finals[0].Ending != Refused || len(k.f.calls) != 3 {
+		t.Fatalf("%+v after %d calls", k.f.finals, len(k.f.calls))
+	}
+}
+
+func TestFullTableRefusesAndSameNameFails(t *testing.T) {
+	s := settings()
+	s.MaxOpen = 5
+	k := start(t, s)
+	k.tell(k.query("a", 2), k.query("a", 1), k.query("b", 2))
+	if len(k.f.finals) != 2 || k.f.finals[0].Ending != Failed || k.f.finals[1].Ending != Refused ||
+		k.f.finals[1].RetryAfter <= 0 {
+		t.Fatalf("%+v", k.f.finals)
+	}
+}
+
+func TestFinishAnswersAllBeforeTheEnd(t *testing.T) {
+	k := start(t, settings())
+	k.tell(k.query("a", 1))
+	k.tell(stopping{until: k.epoch.Add(time.Duration(k.at-k.base)*time.Microsecond + 400*time.Millisecond)})
+	k.tell(k.query("b", 1))
+	select {
+	case <-k.idle:
+		t.Fatal("idle with queries open")
+	default:
+	}
+	k.wait(400 * ms)
+	<-k.idle
+	if len(k.f.finals) != 2 {
+		t.Fatalf("%+v", k.f.finals)
+	}
+}
+
+// The real loop: what many goroutines post is handled by one, and each query gets one final answer.
+func TestRunWithManyPosters(t *testing.T) {
+	s := settings()
+	s.CanCopy = false
+	k := start(t, s)
+	go k.Run()
+	defer k.Close()
+	var wg sync.WaitGroup
+	for i := range 50 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			q := &Query{Name: string(rune('a' + i)), Deadline: time.Now().Add(time.Hour), Client: k.f, Via: k.f,
+				Parts: []PartSpec{{Shard: 0, Weight: 1}}}
+			if !k.Submit(q) {
+				t.Error("no room")
+			}
+			k.Post(Gone{Query: q})
+		}()
+	}
+	wg.Wait()
+	idle := k.Finish(time.Now())
+	select {
+	case <-idle:
+	case <-time.After(30 * time.Second):
+		t.Fatal("queries stay open")
+	}
+}
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -12,6 +12,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,6 +23,9 @@
 	MaxBody      = 64 << 10 // a body that the protocol allows
 	MaxHead      = 16 << 10 // a request or status line with its headers
 	firstRing    = 1 << 10
+	largeRing    = 16 << 10        // an emptied ring beyond this gives its memory back
+	outRing      = 16 << 10        // replies are written through it piece by piece
+	poolSize     = 24 << 20        // all clients' rings together, beyond their first size
 	idleLimit    = 3 * time.Minute // a client connection between requests
 	requestLimit = 10 * time.Second
 	replyLimit   = 5 * time.Second
@@ -36,6 +40,24 @@
 	buf     []byte
 	at, n   int
 	ceiling int
+	pool    *pool // where growth beyond the first size is booked, if anywhere
+}
+
+// pool bounds the memory that rings of many connections take together beyond their first size.
+type pool struct{ left atomic.Int64 }
+
+func (p *pool) take(n int) bool {
+	if p == nil || p.left.Add(int64(-n)) >= 0 {
+		return true
+	}
+	p.left.Add(int64(n))
+	return false
+}
+
+func (p *pool) give(n int) {
+	if p != nil && n > 0 {
+		p.left.Add(int64(n))
+	}
 }
 
 // NewRing returns an empty ring that will hold limit bytes at most.
@@ -49,8 +71,8 @@
 // under way, and must not move the place that it fills.
 func (r *Ring) Free() []byte {
 	if r.n == 0 {
-		if r.at = 0; len(r.buf) > 16*firstRing {
-			r.buf = nil
+		if r.at = 0; len(r.buf) > largeRing {
+			r.drop()
 		}
 	}
 	if r.n == len(r.buf) && !r.grow(r.n+1) {
@@ -78,12 +100,22 @@
 	for size < need {
 		size *= 2
 	}
-	fresh := make([]byte, min(size, r.ceiling))
+	size = min(size, r.ceiling)
+	if len(r.buf) >= firstRing && !r.pool.take(size-len(r.buf)) {
+		return false
+	}
+	fresh := make([]byte, size)
 	r.copyOut(fresh[:r.n], 0)
 	r.buf, r.at = fresh, 0
 	return true
 }
 
+// drop gives the ring's memory back.
+func (r *Ring) drop() {
+	r.pool.give(len(r.buf) - firstRing)
+	r.buf, r.at, r.n = nil, 0, 0
+}
+
 // copyOut copies the bytes from place skip on into p, which must be held.
 func (r *Ring) copyOut(p []byte, skip int) {
 	at := r.at + skip
@@ -217,6 +249,7 @@
 	mu      sync.Mutex
 	conns   map[*serverConn]struct{}
 	closing atomic.Bool
+	rings   pool
 	spare   atomic.Int64 // connections beyond the budget that are just being refused
 	wg      sync.WaitGroup
 }
@@ -227,7 +260,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Server{l: l, handle: h, budget: budget, log: log, conns: map[*serverConn]struct{}{}}, nil
+	s := &Server{l: l, handle: h, budget: budget, log: log, conns: map[*serverConn]struct{}{}}
+	s.rings.left.Store(poolSize)
+	return s, nil
 }
 
 // Addr is the address listened on.
@@ -255,8 +290,9 @@
 			_ = c.Close()
 			continue
 		}
-		sc := &serverConn{s: s, c: c, in: NewRing(MaxHead + MaxBody), out: NewRing(MaxBody), held: held,
+		sc := &serverConn{s: s, c: c, in: NewRing(MaxHead + MaxBody), out: NewRing(outRing), held: held,
 			more: make(chan struct{}, 1), idle: time.Now(), waiting: true}
+		sc.in.pool, sc.out.pool = &s.rings, &s.rings
 		s.mu.Lock()
 		s.conns[sc] = struct{}{}
 		s.mu.Unlock()
@@ -286,7 +322,8 @@
 	return true
 }
 
-// Finish ends the server: from now on every reply ends its connection, and idle ones are closed.
+// Finish ends the server: from now on every reply ends its connection, and idle ones are closed. Called
+// again, it closes those that have become idle since.
 func (s *Server) Finish() {
 	s.closing.Store(true)
 	s.mu.Lock()
@@ -324,6 +361,7 @@
 	at      time.Time // of the last byte read
 	waiting bool      // between requests
 	idle    time.Time
+	over    int  // goroutines that have ended
 	held    bool // has a place in the budget; guarded by the server's mu
 	back    bool
 }
@@ -364,10 +402,14 @@
 		c.mu.Lock()
 		free := c.in.Free()
 		c.mu.Unlock()
-		if free == nil { // far more than a request: let serve make room or give up on it
+		if free == nil { // far more than a request, or no memory: let serve make room or give up on it
 			time.Sleep(10 * time.Millisecond)
 			c.mu.Lock()
 			ended := c.err != nil
+			if ended {
+				c.over++
+				c.leave()
+			}
 			c.mu.Unlock()
 			if ended {
 				return
@@ -377,7 +419,13 @@
 		n, err := c.c.Read(free)
 		c.mu.Lock()
 		c.in.Grew(n)
-		c.at = time.Now()
+		if n > 0 {
+			c.at = time.Now()
+		}
+		if errors.Is(err, os.ErrDeadlineExceeded) { // serve wants the ring's memory back
+			err = nil
+			_ = c.c.SetReadDeadline(time.Time{})
+		}
 		if err != nil && c.err == nil {
 			c.err = err
 		}
@@ -385,11 +433,23 @@
 		c.mu.Unlock()
 		c.signal()
 		if ended {
+			c.mu.Lock()
+			c.over++
+			c.leave()
+			c.mu.Unlock()
 			return
 		}
 	}
 }
 
+// leave gives the rings back once both goroutines are done with them.
+func (c *serverConn) leave() {
+	if c.over == 2 {
+		c.in.drop()
+		c.out.drop()
+	}
+}
+
 // next waits for a whole request.
 func (c *serverConn) next() (*Request, error) {
 	c.mu.Lock()
@@ -444,6 +504,8 @@
 		if c.err == nil {
 			c.err = net.ErrClosed
 		}
+		c.over++
+		c.leave()
 		c.mu.Unlock()
 		c.shut()
 		c.s.mu.Lock()
@@ -475,6 +537,9 @@
 			c.linger()
 			return
 		}
+		if len(req.Body) > largeRing { // else an idle connection would keep a ring as large as its largest body
+			_ = c.c.SetReadDeadline(time.Unix(1, 0))
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/net/net_test.go
@@ -0,0 +1,353 @@
+package net
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+func TestRingAgainstASlice(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	r, want := NewRing(5000), []byte{}
+	for i := range 20000 {
+		switch rng.IntN(4) {
+		case 0, 1:
+			p := bytes.Repeat([]byte{byte(i)}, rng.IntN(400))
+			_, err := r.Write(p)
+			if over := len(want)+len(p) > 5000; over != errors.Is(err, ErrFull) {
+				t.Fatalf("%d bytes on %d: %v", len(p), len(want), err)
+			} else if !over {
+				want = append(want, p...)
+			}
+		case 2:
+			n := rng.IntN(len(want) + 1)
+			r.Discard(n)
+			want = want[n:]
+		case 3:
+			if n := rng.IntN(len(want) + 1); i%50 == 3 {
+				r.Truncate(n)
+				want = want[:n]
+			}
+		}
+		got := make([]byte, r.Len())
+		if r.Peek(got, 0); !bytes.Equal(got, want) {
+			t.Fatalf("step %d: the contents differ", i)
+		}
+		if sep := []byte{byte(i), byte(i)}; r.Index(sep) != bytes.Index(want, sep) {
+			t.Fatalf("step %d: %d is not the place of a separator", i, r.Index(sep))
+		}
+	}
+}
+
+// A read that is under way fills the place that Free gave, whatever is discarded meanwhile.
+func TestDiscardDuringAReadMovesNothing(t *testing.T) {
+	r := NewRing(64 << 10)
+	_, _ = r.Write(bytes.Repeat([]byte("x"), 20000))
+	free := r.Free()
+	r.Discard(20000)
+	r.Grew(copy(free, "later"))
+	got := make([]byte, r.Len())
+	if r.Peek(got, 0); string(got) != "later" {
+		t.Fatalf("%q", got)
+	}
+}
+
+func request(s string) *Ring {
+	r := NewRing(MaxHead + MaxBody)
+	_, _ = r.Write([]byte(s))
+	return r
+}
+
+func TestParseRequest(t *testing.T) {
+	for in, want := range map[string]string{
+		"GET /up HTTP/1.1\r\nHost: x\r\n\r\n":                                "GET /up  []",
+		"\r\nPOST /a?b=c HTTP/1.1\r\nHOST: x\r\nContent-Length: 2\r\n\r\nhi": "POST /a b=c [hi]",
+		"POST http://h:1/a HTTP/1.1\r\nHost: x\r\ncontent-length: 0\r\n\r\n": "POST /a  []",
+		"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" +
+			"2;e=1\r\nhi\r\n0\r\nT: 1\r\n\r\n": "POST /a  [hi]",
+	} {
+		// Byte by byte: there must be no request before the last one, and then this one.
+		ring := NewRing(MaxHead + MaxBody)
+		for i := range len(in) {
+			_, _ = ring.Write([]byte{in[i]})
+			q, _, err := parseRequest(ring, time.Time{})
+			if last := i == len(in)-1; err != nil || (q != nil) != last {
+				t.Fatalf("%q after %d bytes: %v %v", in, i+1, q, err)
+			} else if last {
+				if got := fmt.Sprintf("%s %s %s [%s]", q.Method, q.Path, q.Query, q.Body); got != want {
+					t.Errorf("%q: %s", in, got)
+				}
+			}
+		}
+	}
+}
+
+func TestParseRequestRefuses(t *testing.T) {
+	head := "POST /a HTTP/1.1\r\nHost: x\r\n"
+	for in, status := range map[string]int{
+		"GET\r\n\r\n":                                                           400,
+		"GET /\r\n\r\n":                                                         400,
+		"G@T / HTTP/1.1\r\nHost: x\r\n\r\n":                                     400,
+		"GET / HTTP/2.0\r\nHost: x\r\n\r\n":                                     505,
+		"GET / HTTP/1.1\r\n\r\n":                                                400,
+		head + "no colon\r\n\r\n":                                               400,
+		head + "Content-Length: -1\r\n\r\n":                                     400,
+		head + "Content-Length: two\r\n\r\n":                                    400,
+		head + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nx":                400,
+		head + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n":        400,
+		head + "Content-Length: 65537\r\n\r\n":                                  413,
+		head + "Transfer-Encoding: gzip\r\n\r\n":                                501,
+		head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n":                       400,
+		head + "Transfer-Encoding: chunked\r\n\r\n2\r\nhixx0\r\n\r\n":           400,
+		head + "Transfer-Encoding: chunked\r\n\r\n10001\r\n":                    413,
+		head + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1", 2000): 400,
+		head + "X: " + strings.Repeat("y", MaxHead+1):                           431,
+		head + "X: " + strings.Repeat("y", MaxHead+1) + "\r\n\r\n":              431,
+	} {
+		var b *BadMessage
+		q, _, err := parseRequest(request(in), time.Time{})
+		if q != nil || !errors.As(err, &b) || b.Status != status {
+			t.Errorf("%.60q: %v %v, want %d", in, q, err, status)
+		}
+	}
+}
+
+// serve starts a server that echoes bodies; a body of "hold" gets no reply until release.
+type echo struct {
+	*Server
+	mu   sync.Mutex
+	held []*Exchange
+	gone int
+}
+
+func serve(t *testing.T, budget *Budget) *echo {
+	t.Helper()
+	e := &echo{}
+	s, err := Listen("127.0.0.1:0", budget, slog.New(slog.NewTextHandler(io.Discard, nil)),
+		func(r *Request, x *Exchange) func() {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			if string(r.Body) == "hold" {
+				e.held = append(e.held, x)
+			} else {
+				x.Reply(Response{Status: 200, Body: r.Body})
+				x.Reply(Response{Status: 500}) // one reply only
+			}
+			return func() {
+				e.mu.Lock()
+				e.gone++
+				e.mu.Unlock()
+			}
+		})
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.Server = s
+	go s.Serve()
+	t.Cleanup(func() { s.Finish(); s.StopListening() })
+	return e
+}
+
+func (e *echo) count(f func() int) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return f()
+}
+
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never came: %s", what)
+		}
+	}
+}
+
+func dial(t *testing.T, s *Server) *Client {
+	t.Helper()
+	c, err := Dial(s.Addr(), 5*time.Second, 1<<20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c
+}
+
+func (c *Client) post(body string) (*Reply, error) {
+	return c.Do("POST", "/", "x", nil, []byte(body), time.Now().Add(20*time.Second))
+}
+
+func TestOneConnectionServesManyRequests(t *testing.T) {
+	e := serve(t, NewBudget(10, 0))
+	c := dial(t, e.Server)
+	for i := range 50 {
+		body := strings.Repeat("z", i*1300)
+		if r, err := c.post(body); err != nil || r.Status != 200 || string(r.Body) != body || !c.Sound() {
+			t.Fatalf("request %d: %v %v", i, r, err)
+		}
+	}
+}
+
+func TestBadRequestsGetAnAnswerAndTheEnd(t *testing.T) {
+	e := serve(t, NewBudget(10, 0))
+	for in, want := range map[string]string{
+		"junk\r\n\r\n": "HTTP/1.1 400 ",
+		"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\n" +
+			strings.Repeat("b", 300000): "HTTP/1.1 413 ",
+	} {
+		c, err := net.Dial("tcp", e.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.WriteString(c, in)
+		got, _ := io.ReadAll(c) // the end must come, and not overtake the answer
+		_ = c.Close()
+		if !strings.HasPrefix(string(got), want) || !strings.Contains(string(got), "Connection: close") {
+			t.Errorf("%.20q: %q", in, got)
+		}
+	}
+}
+
+func TestRequestsInARowAndContinue(t *testing.T) {
+	e := serve(t, NewBudget(10, 0))
+	c, err := net.Dial("tcp", e.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	one := "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n"
+	last := strings.Replace(one, "Host", "Connection: close\r\nExpect: 100-continue\r\nHost", 1)
+	_, _ = io.WriteString(c, one+"a"+one+"b"+last)
+	buf, got := make([]byte, 1000), ""
+	for !strings.Contains(got, "100 Continue") {
+		n, err := c.Read(buf)
+		if got += string(buf[:n]); err != nil {
+			t.Fatalf("%q %v", got, err)
+		}
+	}
+	_, _ = io.WriteString(c, "c")
+	rest, _ := io.ReadAll(c)
+	got += string(rest)
+	a, b, d := strings.Index(got, "\r\n\r\na"), strings.Index(got, "\r\n\r\nb"), strings.Index(got, "\r\n\r\nc")
+	if a < 0 || b < a || d < b {
+		t.Fatalf("%q", got)
+	}
+}
+
+func TestClientThatLeavesIsTold(t *testing.T) {
+	e := serve(t, NewBudget(10, 0))
+	c := dial(t, e.Server)
+	if err := c.Write("POST", "/", "x", nil, []byte("hold"), time.Now().Add(9*time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "the request", func() bool { return e.count(func() int { return len(e.held) }) == 1 })
+	c.Close()
+	until(t, "its end", func() bool { return e.count(func() int { return e.gone }) == 1 })
+}
+
+// Beyond the budget an idle connection makes way; where all are busy the new one is refused in so many
+// words.
+func TestBudgetOfDescriptors(t *testing.T) {
+	b := NewBudget(4, 2) // two for clients
+	e := serve(t, b)
+	first, second := dial(t, e.Server), dial(t, e.Server)
+	for _, c := range []*Client{first, second} {
+		if r, err := c.post("x"); err != nil || r.Status != 200 {
+			t.Fatal(r, err)
+		}
+	}
+	third := dial(t, e.Server)
+	if r, err := third.post("x"); err != nil || r.Status != 200 {
+		t.Fatalf("an idle one did not make way: %v %v", r, err)
+	}
+	for _, c := range []*Client{second, third} {
+		if err := c.Write("POST", "/", "x", nil, []byte("hold"), time.Now().Add(9*time.Second)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	until(t, "both", func() bool { return e.count(func() int { return len(e.held) }) == 2 })
+	r, err := dial(t, e.Server).post("x")
+	if err != nil || r.Status != 503 || r.Header.Get("Retry-After") == "" {
+		t.Fatalf("%v %v", r, err)
+	}
+	if !b.TakeServer() || !b.TakeServer() || b.TakeServer() {
+		t.Fatal("clients took what is kept for servers, or servers got more")
+	}
+}
+
+func TestFinishEndsIdleConnectionsAndNoOthers(t *testing.T) {
+	e := serve(t, NewBudget(10, 0))
+	idle, busy := dial(t, e.Server), dial(t, e.Server)
+	if _, err := idle.post("x"); err != nil {
+		t.Fatal(err)
+	}
+	if err := busy.Write("POST", "/", "x", nil, []byte("hold"), time.Now().Add(9*time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "the request", func() bool { return e.count(func() int { return len(e.held) }) == 1 })
+	e.Finish()
+	if _, err := idle.post("x"); err == nil {
+		t.Error("the idle connection goes on")
+	}
+	e.held[0].Reply(Response{Status: 200, Body: []byte("done")})
+	r, err := busy.Read(time.Now().Add(20 * time.Second))
+	if err != nil || string(r.Body) != "done" || busy.Sound() {
+		t.Fatalf("%v %v", r, err)
+	}
+	if !e.Wait(30 * time.Second) {
+		t.Fatal("connections stay")
+	}
+}
+
+func TestClientReadsEveryFormOfBody(t *testing.T) {
+	long := strings.Repeat("0123456789", 20000)
+	for _, c := range []struct {
+		reply, body string
+		sound, ok   bool
+	}{
+		{"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + long, long, true, true},
+		{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", "hi", true, true},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n30d40\r\n" + long + "\r\n0\r\n\r\n",
+			long, true, true},
+		{"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + long, long, false, true},
+		{"HTTP/1.1 204 No\r\n\r\n", "", true, true},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nhi", "", false, false},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n" + long, "", false, false},
+		{"HTTP/1.1 200 OK\r\n\r\n" + long + long, "", false, false},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n", "", false, false},
+		{"nonsense\r\n\r\n", "", false, false},
+	} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Read(make([]byte, 1000))
+			_, _ = io.WriteString(conn, c.reply)
+			_ = conn.(*net.TCPConn).CloseWrite()
+			_, _ = io.Copy(io.Discard, conn)
+		}()
+		cl, err := Dial(l.Addr().String(), 5*time.Second, 250_000)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r, err := cl.Do("GET", "/", "x", nil, nil, time.Now().Add(20*time.Second))
+		if (err == nil) != c.ok || err == nil && (string(r.Body) != c.body || cl.Sound() != c.sound) {
+			t.Errorf("%.60q: %v, sound %v", c.reply, err, cl.Sound())
+		}
+		cl.Close()
+		_ = l.Close()
+	}
+}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -197,8 +197,11 @@
 		c.x.Reply(Refusal(f.RetryAfter))
 	default:
 		status := 502
-		if f.Overdue {
+		switch {
+		case f.Overdue:
 			status = 504
+		case f.NameTaken:
+			status = 409
 		}
 		c.x.Reply(lnet.Response{Status: status, Body: []byte("failed\n")})
 	}
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -483,7 +483,7 @@
 		free := in.Free()
 		n, err := conn.Read(free)
 		in.Grew(n)
-		for in.Len() >= 5 {
+		for in.Len() >= 4 { // a length alone can already be impossible
 			var head [4]byte
 			in.Peek(head[:], 0)
 			size := binary.LittleEndian.Uint32(head[:])
--- /dev/null
+++ b/internal/platform/platform_test.go
@@ -0,0 +1,510 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/url"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"lapislever/balance"
+	"lapislever/internal/core"
+	lnet "lapislever/internal/net"
+	"lapislever/internal/standin"
+)
+
+// settings is the settings object of a small deployment: two cells of one shard each.
+const settings = `{"azs":["praha","brno"],"zone":0,"me":0,"peersTotal":2,"quantumUs":5000,
+ "membershipMode":"automatic","callers":{"marksRetry":true},
+ "bounds":{"cancel":true,"secondCopies":true,"sendCap":4,"retryAfter":true,"maxRetryAfterUs":2000000,
+  "peers":true,
+  "probes":true,"connIdleUs":15000000,"dialTimeoutUs":250000,"streamsPerConn":2,"maxOpen":40},
+ "extra":{"places":2,"reach":1,"slices":2,"bundleMax":1,"classNeed":[1.0,1.0],"leastShare":[1.0,1.0]},
+ "reporting":{"columns":["rps","waiting"],"via":"answers"},
+ "rules":{"coldFrom":0.18,"rampTimeUs":17000000,"fallMultiple":2.5,"fallUs":2000000},
+ "lanes":[{"name":"rate-check","goalTimeUs":1500000,"hardLimitUs":4000000,"idempotency":"read_like","worth":1,
+   "lateWorth":0.3},
+  {"name":"exchange-post","goalTimeUs":1500000,"hardLimitUs":3000000,"idempotency":"idempotency_key",
+   "windowUs":3000000,"worth":1}]}`
+
+// discovery is a stand-in for discovery's agent.
+type discovery struct {
+	addr    string
+	mu      sync.Mutex
+	seq     int
+	hosts   []host
+	waiting *lnet.Exchange
+	asked   []string
+}
+
+func newDiscovery(t *testing.T, hosts ...host) *discovery {
+	t.Helper()
+	d := &discovery{seq: 41, hosts: hosts}
+	l, err := lnet.Listen("127.0.0.1:0", lnet.NewBudget(50, 0), standin.Quiet(), d.serve)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go l.Serve()
+	t.Cleanup(l.StopListening)
+	d.addr = l.Addr()
+	return d
+}
+
+func (d *discovery) reply(x *lnet.Exchange, whole bool, hosts []host) {
+	b, _ := json.Marshal(hostList{Seq: int64(d.seq), Whole: whole, Hosts: hosts})
+	x.Reply(lnet.Response{Status: 200, Type: "application/json", Body: b})
+}
+
+func (d *discovery) serve(r *lnet.Request, x *lnet.Exchange) func() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.asked = append(d.asked, r.Query)
+	if r.Query == "" {
+		d.reply(x, true, d.hosts)
+	} else {
+		d.waiting = x
+	}
+	return nil
+}
+
+// change tells of hosts, once a watch waits for it.
+func (d *discovery) change(t *testing.T, hosts ...host) {
+	t.Helper()
+	standin.Until(t, "a watch", func() bool {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if d.waiting == nil {
+			return false
+		}
+		d.seq++
+		d.reply(d.waiting, false, hosts)
+		d.waiting = nil
+		return true
+	})
+}
+
+func (d *discovery) queries() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append([]string(nil), d.asked...)
+}
+
+func hostAt(name, addr string, cell int) host {
+	return host{Host: name, Dial: addr, Site: "praha", Block: cell, Health: "in_service", Share: 1}
+}
+
+// ok is a data node that serves every part.
+func ok(p standin.Part) (string, string) { return "S", "v:" + p.ID }
+
+// silent takes parts and answers none.
+func silent(standin.Part) (string, string) { return "", "" }
+
+// config is a configuration with the stand-ins' addresses; edit changes the text before it is read.
+func config(t *testing.T, d *discovery, edit ...string) *Config {
+	t.Helper()
+	text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964",
+		"limits":{"cores":1,"memory_mb":192,"sockets":200},"settings":%s}`, d.addr,
+		strings.NewReplacer(edit...).Replace(settings))
+	c, err := Parse([]byte(text), func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// run starts a coordinator and waits until it is ready.
+func run(t *testing.T, c *Config) *Coordinator {
+	t.Helper()
+	k, err := Start(c, standin.Quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(k.Close)
+	standin.Until(t, "readiness", func() bool {
+		return standin.Call(t, k.Addr(), "GET", "/up", nil, "").Status == 200
+	})
+	return k
+}
+
+var calls struct {
+	sync.Mutex
+	n int
+}
+
+// post sends a query for the shards and returns the reply.
+func post(t *testing.T, k *Coordinator, class string, shards ...int) *lnet.Reply {
+	t.Helper()
+	calls.Lock()
+	calls.n++
+	id := fmt.Sprintf("c%d", calls.n)
+	calls.Unlock()
+	items := make([]string, len(shards))
+	for i, s := range shards {
+		items[i] = fmt.Sprintf(`{"slice":%d,"mass":%g}`, s, 1/float64(len(shards)))
+	}
+	head := [][2]string{{"X-Call-Id", id}, {"Idempotency-Key", "k" + id}}
+	return standin.Call(t, k.Addr(), "POST", "/"+class, head,
+		fmt.Sprintf(`{"slices":[%s],"filter":"c41e77d0"}`, strings.Join(items, ",")))
+}
+
+func TestQueryIsServedFromItsParts(t *testing.T) {
+	a, b := standin.NewNode(t, ok), standin.NewNode(t, ok)
+	k := run(t, config(t, newDiscovery(t, hostAt("a", a.Addr, 0), hostAt("b", b.Addr, 1))))
+	r := post(t, k, "rate-check", 1, 0)
+	id := strings.TrimSuffix(a.Parts()[0].ID, ".0")
+	want := fmt.Sprintf(`{"entire":true,"items":[{"slice":1,"body":"v:%s.1"},{"slice":0,"body":"v:%s.0"}]}`,
+		id, id)
+	if r.Status != 200 || string(r.Body) != want {
+		t.Fatalf("%d %s\nwant %s", r.Status, r.Body, want)
+	}
+	p := a.Parts()[0]
+	if p.Text != "c41e77d0" || !strings.HasPrefix(p.List, "d=") || strings.Contains(p.List, "k=") {
+		t.Fatalf("%+v", p)
+	}
+	for range 20 {
+		post(t, k, "exchange-post", 0)
+	}
+	if p := a.Parts()[1]; !strings.HasSuffix(p.List, ",k=k"+strings.TrimSuffix(p.ID, ".0")) {
+		t.Fatalf("%+v", p)
+	}
+	if n := a.Opened(); n != 1 {
+		t.Fatalf("%d connections for one part at a time: they are not reused", n)
+	}
+}
+
+// A node that is not there never ran anything, so the next candidate is tried; and where there is none the
+// client is told when to come back, even of a class that must not be repeated.
+func TestWhatNeverRanIsRefused(t *testing.T) {
+	gone := standin.NewNode(t, ok)
+	gone.Close()
+	k := run(t, config(t, newDiscovery(t, hostAt("a", gone.Addr, 0))))
+	if r := post(t, k, "exchange-post", 0); r.Status != 503 || r.Header.Get("Retry-After") == "" {
+		t.Fatalf("%d %q", r.Status, r.Header.Get("Retry-After"))
+	}
+}
+
+// A connection that breaks after a frame's last byte leaves it open whether the part ran: a refusal would
+// tell the client that it did not.
+func TestWhatMayHaveRunIsNotRefused(t *testing.T) {
+	var n *standin.Node
+	n = standin.NewNode(t, func(standin.Part) (string, string) { n.Drop(); return "", "" })
+	k := run(t, config(t, newDiscovery(t, hostAt("a", n.Addr, 0))))
+	if r := post(t, k, "exchange-post", 0); r.Status != 502 {
+		t.Fatalf("%d %s", r.Status, r.Body)
+	}
+}
+
+// A part that is silent is copied, the copy answers, and the loser is given up by name.
+func TestLosingTwinIsGivenUp(t *testing.T) {
+	a, b := standin.NewNode(t, silent), standin.NewNode(t, ok)
+	k := run(t, config(t, newDiscovery(t, hostAt("a", a.Addr, 0), hostAt("b", b.Addr, 0))))
+	for len(a.Parts()) == 0 { // until the silent one is drawn
+		if r := post(t, k, "rate-check", 0); r.Status != 200 {
+			t.Fatalf("%d %s", r.Status, r.Body)
+		}
+	}
+	standin.Until(t, "the word that it is given up", func() bool { return len(a.Given()) > 0 })
+	if got, want := a.Given()[0], a.Parts()[0].ID; got != want {
+		t.Fatalf("%q is given up, want %q", got, want)
+	}
+}
+
+// One connection carries so many parts and no more; a silent node blocks only itself.
+func TestPartsBeyondAConnectionOpenAnother(t *testing.T) {
+	a, b := standin.NewNode(t, silent), standin.NewNode(t, ok)
+	k := run(t, config(t, newDiscovery(t, hostAt("a", a.Addr, 0), hostAt("b", b.Addr, 1))))
+	var wg sync.WaitGroup
+	for range 3 {
+		wg.Add(1)
+		go func() { defer wg.Done(); post(t, k, "rate-check", 0) }()
+	}
+	standin.Until(t, "three parts", func() bool { return len(a.Parts()) >= 3 })
+	if n := a.Opened(); n < 2 {
+		t.Errorf("%d connections for three parts out", n)
+	}
+	if r := post(t, k, "rate-check", 1); r.Status != 200 {
+		t.Errorf("%d: a silent node blocks others", r.Status)
+	}
+	wg.Wait()
+}
+
+// The watch goes on from the last version, and what it tells counts: nothing new goes to a node that
+// drains.
+func TestWatchAndDrain(t *testing.T) {
+	a, b := standin.NewNode(t, ok), standin.NewNode(t, ok)
+	d := newDiscovery(t, hostAt("a", a.Addr, 0), hostAt("b", b.Addr, 0))
+	k := run(t, config(t, d))
+	draining := hostAt("a", a.Addr, 0)
+	draining.Health = "terminating"
+	d.change(t, draining)
+	standin.Until(t, "the next watch", func() bool { return len(d.queries()) >= 3 })
+	if got := d.queries(); got[0] != "" || got[1] != "index=41&wait=20000" || got[2] != "index=42&wait=20000" {
+		t.Fatalf("%q", got)
+	}
+	// The list is queued before the next watch is sent, and queries come after it.
+	for range 20 {
+		if r := post(t, k, "rate-check", 0); r.Status != 200 {
+			t.Fatalf("%d %s", r.Status, r.Body)
+		}
+	}
+	if n := len(a.Parts()); n != 0 {
+		t.Fatalf("%d parts went to a node that drains", n)
+	}
+}
+
+// What waits for a connection that is still coming up is queued: a drain takes it back, and it never ran.
+func TestStopTakesBackWhatIsQueued(t *testing.T) {
+	n := NewNodes(config(t, newDiscovery(t)), lnet.NewBudget(10, 0), standin.Quiet(), func(core.Event) {})
+	id := core.ServerID("a")
+	c := &nodeConn{n: n, node: &node{id: id}, out: lnet.NewRing(outLimit), waiting: map[string]*core.Attempt{},
+		wake: make(chan struct{}, 1)}
+	n.nodes[id] = c.node
+	c.node.conns = []*nodeConn{c}
+	var all []*core.Attempt
+	for i := range 4 {
+		a := &core.Attempt{Query: &core.Query{Name: fmt.Sprint("q", i)}, Replica: id}
+		c.queue([]byte(fmt.Sprint("frame", i)), frame{call: []*core.Attempt{a}})
+		all = append(all, a)
+	}
+	c.frames[0].begun = true // the writer has it
+	if !n.Withdraw(all[2]) || n.Withdraw(all[0]) {
+		t.Fatal("only what is not begun has never run")
+	}
+	if back := n.Stop(id); len(back) != 2 || back[0] != all[1] || back[1] != all[3] {
+		t.Fatalf("%v", back)
+	}
+	left := make([]byte, c.out.Len())
+	if c.out.Peek(left, 0); string(left) != "frame0" || len(c.frames) != 1 {
+		t.Fatalf("%q in %d frames", left, len(c.frames))
+	}
+}
+
+// After a restart the list known before it is enough to serve, while discovery is silent.
+func TestKnownListServesWhileDiscoveryIsSilent(t *testing.T) {
+	a := standin.NewNode(t, ok)
+	mute := standin.NewHTTP(t, func(string, url.Values) (int, string) { return 0, "" })
+	c := config(t, &discovery{addr: mute.Addr})
+	c.Known = &hostList{Seq: 7, Whole: true, Hosts: []host{hostAt("a", a.Addr, 0)}}
+	if r := post(t, run(t, c), "rate-check", 0); r.Status != 200 {
+		t.Fatalf("%d %s", r.Status, r.Body)
+	}
+}
+
+func TestNotReadyBeforeAnyList(t *testing.T) {
+	mute := standin.NewHTTP(t, func(string, url.Values) (int, string) { return 0, "" })
+	k, err := Start(config(t, &discovery{addr: mute.Addr}), standin.Quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer k.Close()
+	standin.Until(t, "the call for the list", func() bool { return len(mute.Seen()) > 0 })
+	if r := standin.Call(t, k.Addr(), "GET", "/up", nil, ""); r.Status != 503 {
+		t.Fatal(r.Status)
+	}
+}
+
+// Ending in order: not ready at once, still serving whoever comes, all answered, and an end.
+func TestShutdownAnswersWhatWasTaken(t *testing.T) {
+	a, b := standin.NewNode(t, silent), standin.NewNode(t, ok)
+	k := run(t, config(t, newDiscovery(t, hostAt("a", a.Addr, 0), hostAt("b", b.Addr, 1))))
+	held := make(chan int, 1)
+	go func() { held <- post(t, k, "rate-check", 0).Status }()
+	standin.Until(t, "the part", func() bool { return len(a.Parts()) > 0 })
+	ended := make(chan struct{})
+	go func() { k.Shutdown(); close(ended) }()
+	standin.Until(t, "the end of readiness", func() bool { return !k.front.ready.Load() })
+	if got := <-held; got != 503 {
+		t.Errorf("what was held got %d", got)
+	}
+	<-ended
+	if _, err := net.Dial("tcp", k.Addr()); err == nil {
+		t.Error("it still listens")
+	}
+}
+
+// Datagrams reach the peer they are for; what is too long, or from a stranger, reaches nobody.
+func TestDatagrams(t *testing.T) {
+	c := config(t, newDiscovery(t))
+	var socks []*net.UDPConn
+	for range 3 {
+		s, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = s.Close() })
+		socks = append(socks, s)
+	}
+	own, peer, stranger := socks[0].LocalAddr().String(), socks[1], socks[2]
+	_ = socks[0].Close()
+	c.PeerListen, c.Peers = own, []string{own, peer.LocalAddr().String()}
+	got := make(chan core.Event, 10)
+	p, err := listenPeers(c, standin.Quiet(), func(e core.Event) { got <- e })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = p.c.Close() })
+	go p.read()
+	go p.write()
+	p.Tell(1, strings.Repeat("x", maxDatagram+1))
+	p.Tell(9, "nobody")
+	p.Tell(1, "hello")
+	buf := make([]byte, 1000)
+	_ = peer.SetReadDeadline(time.Now().Add(20 * time.Second))
+	if n, _, err := peer.ReadFromUDP(buf); err != nil || string(buf[:n]) != "hello" {
+		t.Fatalf("%q %v", buf[:n], err)
+	}
+	to, _ := net.ResolveUDPAddr("udp", own)
+	_, _ = stranger.WriteToUDP([]byte("x"), to)
+	_, _ = peer.WriteToUDP(make([]byte, maxDatagram+1), to)
+	_, _ = peer.WriteToUDP([]byte("back"), to)
+	if m := (<-got).(core.PeerMessage); m.From != 1 || string(m.Data) != "back" {
+		t.Fatalf("%+v", m)
+	}
+}
+
+func TestBadRequestsAreAnswered(t *testing.T) {
+	a := standin.NewNode(t, ok)
+	k := run(t, config(t, newDiscovery(t, hostAt("a", a.Addr, 0))))
+	id := [2]string{"X-Call-Id", "x1"}
+	key := [2]string{"Idempotency-Key", "k1"}
+	good := `{"slices":[{"slice":0,"mass":1}],"filter":"f"}`
+	for name, c := range map[string]struct {
+		method, path, body string
+		header             [][2]string
+		want               int
+	}{
+		"unknown class":    {"POST", "/lunch", good, [][2]string{id}, 404},
+		"no class":         {"POST", "/", good, [][2]string{id}, 404},
+		"not a post":       {"GET", "/rate-check", "", [][2]string{id}, 405},
+		"no id":            {"POST", "/rate-check", good, nil, 400},
+		"id with a space":  {"POST", "/rate-check", good, [][2]string{{"X-Call-Id", "a b"}}, 400},
+		"no key":           {"POST", "/exchange-post", good, [][2]string{id}, 400},
+		"key with a comma": {"POST", "/exchange-post", good, [][2]string{id, {"Idempotency-Key", "a,d=1"}}, 400},
+		"bad budget":       {"POST", "/rate-check", good, [][2]string{id, {"X-Budget", "soon"}}, 400},
+		"budget NaN":       {"POST", "/rate-check", good, [][2]string{id, {"X-Budget", "NaN"}}, 400},
+		"no body":          {"POST", "/rate-check", "", [][2]string{id}, 400},
+		"not JSON":         {"POST", "/rate-check", "{", [][2]string{id}, 400},
+		"no slices":        {"POST", "/rate-check", `{"slices":[]}`, [][2]string{id}, 400},
+		"slice without":    {"POST", "/rate-check", `{"slices":[{"mass":1}]}`, [][2]string{id}, 400},
+		"unknown slice":    {"POST", "/rate-check", `{"slices":[{"slice":2}]}`, [][2]string{id}, 400},
+		"slice twice":      {"POST", "/rate-check", `{"slices":[{"slice":0},{"slice":0}]}`, [][2]string{id}, 400},
+		"no mass":          {"POST", "/rate-check", `{"slices":[{"slice":0,"mass":0}]}`, [][2]string{id}, 400},
+		"bad term":         {"POST", "/rate-check", `{"slices":[{"slice":0,"term":"x"}]}`, [][2]string{id}, 400},
+		"up by post":       {"POST", "/up", "", nil, 405},
+		"no time left":     {"POST", "/rate-check", good, [][2]string{id, {"X-Budget", "0"}}, 503},
+		"good":             {"POST", "/exchange-post", good, [][2]string{id, key, {"X-Budget", "2.5"}}, 200},
+	} {
+		if r := standin.Call(t, k.Addr(), c.method, c.path, c.header, c.body); r.Status != c.want {
+			t.Errorf("%s: %d, want %d", name, r.Status, c.want)
+		}
+	}
+}
+
+// A node whose frames cannot be read loses its connection; its parts may have run, and others go on.
+func TestBadFramesEndTheConnection(t *testing.T) {
+	for name, bytes := range map[string]string{
+		"length 0":       "\x00\x00\x00\x00",
+		"too long":       "\xff\xff\xff\x7f5",
+		"unknown letter": "\x01\x00\x00\x00Q",
+		"no line":        "\x02\x00\x00\x005x",
+		"could not use":  "\x03\x00\x00\x00Xno",
+	} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		ended := make(chan error, 8)
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = c.Read(make([]byte, 1000))
+				_, _ = c.Write([]byte(bytes))
+				_, err = c.Read(make([]byte, 1000))
+				ended <- err
+				_ = c.Close()
+			}
+		}()
+		k := run(t, config(t, newDiscovery(t, hostAt("a", l.Addr().String(), 0))))
+		if r := post(t, k, "exchange-post", 0); r.Status != 502 {
+			t.Errorf("%s: %d", name, r.Status)
+		}
+		if err := <-ended; err == nil {
+			t.Errorf("%s: the connection goes on", name)
+		}
+		_ = l.Close()
+	}
+}
+
+func TestParseAnswer(t *testing.T) {
+	a, err := parseAnswer([]byte("x.3 S 18 inflight=7,util=0.61\nva\nlue"))
+	if err != nil || a.id != "x.3" || a.outcome != balance.OK || string(a.value) != "va\nlue" {
+		t.Fatalf("%+v %v", a, err)
+	}
+	for in, want := range map[string]balance.Outcome{"x E 1 -\n": balance.Error, "x B 1 -\n": balance.Busy} {
+		if a, err := parseAnswer([]byte(in)); err != nil || a.outcome != want {
+			t.Errorf("%q: %+v %v", in, a, err)
+		}
+	}
+	for _, in := range []string{"", "x S 1 -", "x S 1\n", " S 1 -\n", "x Z 1 -\n", "x S 1 - -\n"} {
+		if _, err := parseAnswer([]byte(in)); err == nil {
+			t.Errorf("%q is taken", in)
+		}
+	}
+}
+
+func TestReportIsReadByName(t *testing.T) {
+	c := &Config{Columns: []string{"rps", "waiting"}}
+	for in, want := range map[string]string{"queue=3,qps=7.5": "[7.5 3]", "waiting=3,x=1,bad": "[0 3]",
+		"-": "[]"} {
+		if got := fmt.Sprint(c.report(in)); got != want {
+			t.Errorf("%q: %s, want %s", in, got, want)
+		}
+	}
+}
+
+func TestParseConfig(t *testing.T) {
+	c := config(t, &discovery{addr: "127.0.0.1:1"})
+	if c.Module.MaxAttempts != 4 || len(c.Classes) != 2 || c.Classes[1] != "exchange-post" || c.Shards != 2 ||
+		c.Module.Classes[1].Effect != balance.Keyed || c.Zones[1] != "brno" || c.Streams != 2 ||
+		c.Module.Tick != 5000 || c.seed() != 0x8c1f30d27a5be964 || c.Module.ReportQueue != 1 {
+		t.Fatalf("%+v", c)
+	}
+	for edited, want := range map[string]string{
+		``:                                 "",
+		`{"listen":"a:1"}`:                 "discovery",
+		`{"discovery":"a:1"}`:              "listen",
+		`{"listen":"a:1","discovery":"b"}`: "setting",
+		`{"listen":"a:1","discovery":"b","seed":"x","settings":{}}`: "seed",
+		`{"listen":"a:1","discovery":"b","settings":` + strings.Replace(settings, `"sendCap":4`, `"sendCap":0`, 1) +
+			`}`: "",
+		`{"listen":"a:1","discovery":"b","settings":` + strings.Replace(settings, `"name":"rate-check",`, ``, 1) +
+			`}`: "lanes.0.name",
+	} {
+		c, err := Parse([]byte(edited), func(string) string { return "" })
+		if err == nil { // what the module itself refuses
+			_, err = core.New(core.Config{Settings: c.Module})
+		}
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%.60s: %v", edited, err)
+		}
+	}
+}
+
+func TestReplicasOfAList(t *testing.T) {
+	c := &Config{Zones: []string{"praha", "brno"}}
+	got := c.replicas([]host{{Host: "a", Site: "brno", Block: 3, Health: "in_service", Share: 1.5, Born: 1000},
+		{Host: "b", Site: "x", Health: "terminating"}, {Host: "c", Health: "terminated"}})
+	if r := got[0]; r.ID != core.ServerID("a") || r.Zone != 1 || r.Cell != 3 || r.State != balance.Ready ||
+		r.Size != 1.5 || r.Started != 1_000_000 {
+		t.Fatalf("%+v", r)
+	}
+	if got[1].State != balance.Draining || got[1].Zone != -1 || got[2].State != balance.Gone {
+		t.Fatalf("%+v", got)
+	}
+}
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -11,6 +11,7 @@
 	"net"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"lapislever/balance"
@@ -25,7 +26,7 @@
 	watchMost   = time.Second
 	maxList     = 4 << 20
 	maxDatagram = 256
-	ownSockets  = 24 // descriptors for all but clients and nodes
+	ownSockets  = 40 // descriptors for all but clients and nodes
 	nodeShare   = 4  // one in so many descriptors is kept for nodes
 
 	// An ending coordinator goes on accepting for as long as new connections may still come, and answers
@@ -62,6 +63,7 @@
 	peers  *peers
 	extras []Extra
 	stop   chan struct{}
+	halted sync.Once
 }
 
 // ApplyLimits keeps this process within the platform's limits on cores and memory.
@@ -152,6 +154,7 @@
 	time.Sleep(acceptOn)
 	for _, x := range ends {
 		x.StopListening()
+		x.Finish() // once more: what came meanwhile and is idle
 	}
 	select {
 	case <-idle:
@@ -180,11 +183,13 @@
 
 // halt ends the goroutines that are not connections.
 func (k *Coordinator) halt() {
-	close(k.stop)
-	k.core.Close()
-	if k.peers != nil {
-		_ = k.peers.c.Close()
-	}
+	k.halted.Do(func() {
+		close(k.stop)
+		k.core.Close()
+		if k.peers != nil {
+			_ = k.peers.c.Close()
+		}
+	})
 }
 
 // watcher follows discovery.
--- a/internal/promql/front.go
+++ b/internal/promql/front.go
@@ -40,21 +40,21 @@
 type Server struct {
 	Name    string   `toml:"name"`
 	Address string   `toml:"address"` // host:port, or a URL with a path before /api
-	Zone    string   `toml:"zone"`
+	Zone    string   `toml:"zone,omitempty"`
 	Cell    int      `toml:"cell"`
-	Share   *float64 `toml:"share"`
+	Share   *float64 `toml:"share,omitempty"`
 }
 
 // Config is the front's file.
 type Config struct {
 	Listen     string         `toml:"listen"`
 	Class      string         `toml:"class"`
-	ShardLabel string         `toml:"shard_label"` // of the series, naming their shard, where there is one
-	Zone       string         `toml:"zone"`        // ours, where there is no platform to tell
-	Shards     int            `toml:"shards"`      // where there is no platform to tell
-	Reach      int            `toml:"reach"`
+	ShardLabel string         `toml:"shard_label,omitempty"` // of the series, naming their shard
+	Zone       string         `toml:"zone,omitempty"`        // ours, where there is no platform to tell
+	Shards     int            `toml:"shards,omitempty"`      // where there is no platform to tell
+	Reach      int            `toml:"reach,omitempty"`
 	Servers    []Server       `toml:"server"`
-	Settings   map[string]any `toml:"settings"` // over the defaults, where there is no platform
+	Settings   map[string]any `toml:"settings,omitempty"` // over the defaults, where there is no platform
 }
 
 // ParseConfig reads the front's file. Unknown keys are errors, as a misspelt one would be lost unseen.
