--- a/cmd/lapislever/main.go
+++ b/cmd/lapislever/main.go
@@ -14,6 +14,7 @@
 
 	"github.com/spf13/pflag"
 
+	"lapislever/internal/importer"
 	"lapislever/internal/platform"
 	"lapislever/internal/promql"
 )
@@ -26,6 +27,7 @@
 commands:
   serve     run one coordinator
   check     validate the configuration and stop
+  import    make a file for --promql of a mod_jk worker file or Apache's balancers
   version   print the version
 
 RELAY_CONFIG names the platform's configuration. With --promql FILE range queries are served too, and without
@@ -54,11 +56,15 @@
 	}
 	flags := pflag.NewFlagSet(args[0], pflag.ContinueOnError)
 	flags.SetOutput(stderr)
-	verbose, ranges := false, ""
+	verbose, ranges, listen, class, files := false, "", "", "", 0
 	switch args[0] {
 	case "serve", "check":
 		flags.BoolVarP(&verbose, "verbose", "v", false, "log more")
 		flags.StringVar(&ranges, "promql", "", "serve range queries as this file says")
+	case "import":
+		flags.StringVar(&listen, "listen", "127.0.0.1:9090", "address that the front listens on")
+		flags.StringVar(&class, "class", "day-report", "class of its queries")
+		files = 1
 	case "version":
 	case "help", "-h", "--help":
 		fmt.Fprint(stdout, usage)
@@ -72,12 +78,15 @@
 	} else if err != nil {
 		return fmt.Errorf("%w: %v", errUsage, err)
 	}
-	if flags.NArg() > 0 {
-		return fmt.Errorf("%w: %s takes no arguments", errUsage, args[0])
+	if flags.NArg() != files {
+		return fmt.Errorf("%w: %s takes %d arguments, not %d", errUsage, args[0], files, flags.NArg())
 	}
-	if args[0] == "version" {
+	switch args[0] {
+	case "version":
 		fmt.Fprintln(stdout, "lapislever", version())
 		return nil
+	case "import":
+		return importFile(flags.Arg(0), listen, class, stdout, stderr)
 	}
 	level := slog.LevelInfo
 	if verbose {
@@ -131,6 +140,23 @@
 	return cfg, []platform.Extra{front}, nil
 }
 
+// importFile prints the front's file, and to the other stream what there is to say of each line.
+func importFile(path, listen, class string, stdout, stderr io.Writer) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	res, err := importer.Import(string(text), listen, class)
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	for _, r := range res.Remarks {
+		fmt.Fprintf(stderr, "%s:%d: %s\n", path, r.Line, r.Text)
+	}
+	_, err = io.WriteString(stdout, res.File)
+	return err
+}
+
 func version() string {
 	if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
 		return info.Main.Version
--- /dev/null
+++ b/cmd/lapislever/main_test.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+func write(t *testing.T, name, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+const workers = "worker.list=l\nworker.l.type=lb\nworker.l.balance_workers=a\nworker.l.retries=2\n" +
+	"worker.a.port=9101\n"
+
+func TestCommandLine(t *testing.T) {
+	sound := write(t, "promql.toml", `listen = "127.0.0.1:0"
+[[server]]
+name = "a"
+address = "127.0.0.1:1"
+`)
+	unsound := write(t, "bad.toml", "listen = 3\n")
+	jk := write(t, "workers.properties", workers)
+	for _, c := range []struct {
+		args        []string
+		usage, fail bool
+		out         string
+	}{
+		{args: nil, usage: true},
+		{args: []string{"dance"}, usage: true},
+		{args: []string{"serve", "--no-such-flag"}, usage: true},
+		{args: []string{"serve", "extra"}, usage: true},
+		{args: []string{"import"}, usage: true},
+		{args: []string{"import", jk, jk}, usage: true},
+		{args: []string{"help"}, out: "usage: "},
+		{args: []string{"version"}, out: "lapislever "},
+		{args: []string{"check"}, fail: true}, // no configuration is named
+		{args: []string{"check", "--promql", unsound}, fail: true},
+		{args: []string{"check", "--promql", sound}, out: "sound"},
+		{args: []string{"import", unsound}, fail: true},
+		{args: []string{"import", jk, "--listen", "127.0.0.1:7"}, out: `listen = "127.0.0.1:7"`},
+	} {
+		var out, errs bytes.Buffer
+		err := run(c.args, &out, &errs, func(string) string { return "" }, nil)
+		if errors.Is(err, errUsage) != c.usage || (err != nil) != (c.usage || c.fail) ||
+			!strings.Contains(out.String(), c.out) {
+			t.Errorf("%q: %v, printed %q", c.args, err, out.String())
+		}
+	}
+}
+
+// What import prints is a file that serve starts with, and it reports what it could not take.
+func TestServeTakesWhatImportPrints(t *testing.T) {
+	var file, remarks bytes.Buffer
+	args := []string{"import", write(t, "workers.properties", workers), "--listen", "127.0.0.1:0"}
+	if err := run(args, &file, &remarks, os.Getenv, nil); err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(remarks.String(), "workers.properties:4: worker.l.retries has no counterpart") {
+		t.Error(remarks.String())
+	}
+	ends := make(chan os.Signal, 1)
+	ends <- syscall.SIGTERM
+	var out, log bytes.Buffer
+	args = []string{"serve", "--promql", write(t, "promql.toml", file.String())}
+	if err := run(args, &out, &log, func(string) string { return "" }, ends); err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(log.String(), "msg=started") || !strings.Contains(log.String(), "msg=ended") {
+		t.Error(log.String())
+	}
+}
