--- a/cmd/lapislever/main.go
+++ b/cmd/lapislever/main.go
@@ -92,7 +92,8 @@
 	if verbose {
 		level = slog.LevelDebug
 	}
-	log := slog.New(slog.NewTextHandler(stderr, &slog.HandlerOptions{Level: level}))
+	log, flush := platform.NewLog(stderr, level)
+	defer flush()
 	cfg, fronts, err := load(ranges, env, log)
 	if err != nil {
 		return err
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -27,6 +27,7 @@
 	outRing      = 16 << 10        // replies are written through it piece by piece
 	poolSize     = 24 << 20        // all clients' rings together, beyond their first size
 	idleLimit    = 3 * time.Minute // a client connection between requests
+	spareLimit   = time.Second     // and of one beyond the budget, until it is refused
 	requestLimit = 10 * time.Second
 	replyLimit   = 5 * time.Second
 	lingerLimit  = 500 * time.Millisecond
@@ -308,9 +309,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var oldest *serverConn
+	var since time.Time
 	for c := range s.conns {
-		if c.waitsIdle() && (oldest == nil || c.idle.Before(oldest.idle)) {
-			oldest = c
+		if at, idle := c.waitsIdle(); idle && c.held && (oldest == nil || at.Before(since)) {
+			oldest, since = c, at
 		}
 	}
 	if oldest == nil {
@@ -329,7 +331,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.waitsIdle() {
+		if _, idle := c.waitsIdle(); idle {
 			c.shut()
 		}
 	}
@@ -366,11 +368,11 @@
 	back    bool
 }
 
-// waitsIdle tells that nothing of a request has been read. The server's mu is held.
-func (c *serverConn) waitsIdle() bool {
+// waitsIdle tells whether nothing of a request has been read, and since when.
+func (c *serverConn) waitsIdle() (time.Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.waiting && c.in.Len() == 0
+	return c.idle, c.waiting && c.in.Len() == 0
 }
 
 func (c *serverConn) shut() { _ = c.c.Close() }
@@ -457,13 +459,17 @@
 	c.mu.Unlock()
 	var began time.Time
 	continued := false
-	timer := time.NewTimer(idleLimit)
+	limit := idleLimit
+	if !c.held { // one of the few places for those that are to be refused
+		limit = spareLimit
+	}
+	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	for {
 		c.mu.Lock()
 		if began.IsZero() && c.in.Len() > 0 {
 			began = time.Now()
-			timer.Reset(requestLimit)
+			timer.Reset(min(limit, requestLimit))
 		}
 		req, wants, err := parseRequest(c.in, c.at)
 		gone := c.err
@@ -551,6 +557,7 @@
 			Body: []byte("too many connections\n")}, true
 	}
 	gone := c.s.handle(req, x)
+	c.signal() // the word of an end that came along with the request may have been taken with it
 	for {
 		select {
 		case r := <-x.reply:
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -253,6 +253,19 @@
 	until(t, "its end", func() bool { return e.count(func() int { return e.gone }) == 1 })
 }
 
+// The end may come in one piece with the request: it must be seen all the same.
+func TestClientThatLeavesAtOnceIsTold(t *testing.T) {
+	e := serve(t, NewBudget(10, 0))
+	for i := range 20 {
+		c := dial(t, e.Server)
+		if err := c.Write("POST", "/", "x", nil, []byte("hold"), time.Now().Add(9*time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		c.Close()
+		until(t, "its end", func() bool { return e.count(func() int { return e.gone }) == i+1 })
+	}
+}
+
 // Beyond the budget an idle connection makes way; where all are busy the new one is refused in so many
 // words.
 func TestBudgetOfDescriptors(t *testing.T) {
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -441,6 +441,29 @@
 	}
 }
 
+// stuck is a stream that nobody reads.
+type stuck struct{ free chan struct{} }
+
+func (s stuck) Write(p []byte) (int, error) { <-s.free; return len(p), nil }
+
+// A log that nobody reads must not hold up who logs, the core's goroutine among them.
+func TestLogNeverBlocks(t *testing.T) {
+	s := stuck{make(chan struct{})}
+	log, flush := NewLog(s, 0)
+	for range 3 * logQueue {
+		log.Info("a line")
+	}
+	flush()
+	close(s.free)
+	var out strings.Builder
+	log, flush = NewLog(&out, 0)
+	log.Info("the last line")
+	flush()
+	if !strings.Contains(out.String(), "the last line") {
+		t.Fatalf("%q", out.String())
+	}
+}
+
 func TestParseAnswer(t *testing.T) {
 	a, err := parseAnswer([]byte("x.3 S 18 inflight=7,util=0.61\nva\nlue"))
 	if err != nil || a.id != "x.3" || a.outcome != balance.OK || string(a.value) != "va\nlue" {
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -226,26 +226,21 @@
 	asked := !watching // by the module, which wants to hear of a failure
 	wait := watchRetry
 	whole := true
+	always := make(chan struct{})
+	close(always)
 	for {
-		if !watching {
-			select {
-			case watching = <-w.on:
-				continue
-			case <-w.fetch:
-				whole = true
-			case <-w.stop:
-				return
-			}
-		} else {
-			select {
-			case watching = <-w.on:
-				continue
-			case <-w.fetch:
-				whole = true
-			case <-w.stop:
-				return
-			default:
-			}
+		var on <-chan struct{} // ready at once while we watch
+		if watching {
+			on = always
+		}
+		select {
+		case watching = <-w.on:
+			continue
+		case <-w.fetch:
+			whole = true
+		case <-w.stop:
+			return
+		case <-on:
 		}
 		target := "/discovery/hosts"
 		limit := watchSlack
@@ -392,6 +387,9 @@
 			continue
 		}
 		who, known := p.from[from.String()]
+		if known && int(who) == p.cfg.Module.Number {
+			continue // our own word to all
+		}
 		if !known || n > maxDatagram {
 			p.log.Warn("bad datagram", "from", from, "bytes", n)
 			continue
