Show that both fronts share one core, and date replies

A test with discovery and both fronts: a server that discovery says drains gets no range query either. Replies bear Date, as HTTP/1.1 asks of a server that has a clock.

--- a/internal/net/http.go
+++ b/internal/net/http.go
@@ -309,8 +309,8 @@
 	if kind == "" {
 		kind = "text/plain; charset=utf-8"
 	}
-	fmt.Fprintf(w, "HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %d\r\n", r.Status, Reason(r.Status),
-		kind, len(r.Body))
+	fmt.Fprintf(w, "HTTP/1.1 %d %s\r\nDate: %s\r\nContent-Type: %s\r\nContent-Length: %d\r\n", r.Status,
+		Reason(r.Status), time.Now().UTC().Format("Mon, 02 Jan 2006 15:04:05 GMT"), kind, len(r.Body))
 	for _, h := range r.Header {
 		fmt.Fprintf(w, "%s: %s\r\n", h[0], h[1])
 	}
--- a/internal/promql/front_test.go
+++ b/internal/promql/front_test.go
@@ -1,6 +1,7 @@
 package promql
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/url"
@@ -29,8 +30,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return run(t, pc, cfg, true)
+}
+
+// run starts a coordinator with the front.
+func run(t *testing.T, pc *platform.Config, cfg *Config, alone bool) string {
+	t.Helper()
 	f, err := New(cfg, Place{Classes: pc.Classes, Settings: pc.Module, Zones: pc.Zones, Shards: pc.Shards,
-		DialTimeout: pc.DialTimeout, ConnIdle: pc.ConnIdle, Alone: true, Log: standin.Quiet()})
+		DialTimeout: pc.DialTimeout, ConnIdle: pc.ConnIdle, Alone: alone, Log: standin.Quiet()})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -209,6 +216,44 @@
 	standin.Until(t, "the end of the idle connection", func() bool { return s[0].Open() == 0 })
 }
 
+// Both fronts on one core: the servers are discovery's, the file adds where they answer range queries, and
+// what discovery tells holds for these as well: nothing goes to a server that drains.
+func TestBothFrontsOnOneCore(t *testing.T) {
+	drains, stays := fixed(t, 200, matrix(a1))[0], fixed(t, 200, matrix(a1))[0]
+	const hosts = `{"seq":%d,"whole":%t,"hosts":[{"host":"drains","dial":"127.0.0.1:1","site":"p","health":%q,
+		"share":1},{"host":"stays","dial":"127.0.0.1:1","site":"p","health":"in_service","share":1}]}`
+	discovery := standin.NewHTTP(t, func(_ string, v url.Values) (int, string) {
+		switch v.Get("index") {
+		case "":
+			return 200, fmt.Sprintf(hosts, 1, true, "in_service")
+		case "1":
+			return 200, fmt.Sprintf(hosts, 2, false, "terminating")
+		}
+		return 0, ""
+	})
+	file := &Config{Listen: "127.0.0.1:0", Class: "day-report", Servers: []Server{
+		{Name: "drains", Address: drains.Addr}, {Name: "stays", Address: stays.Addr}}}
+	settings, err := json.Marshal(file.Standalone())
+	if err != nil {
+		t.Fatal(err)
+	}
+	pc, err := platform.Parse([]byte(fmt.Sprintf(`{"listen":"127.0.0.1:0","discovery":%q,"settings":%s}`,
+		discovery.Addr, settings)), func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := run(t, pc, file, false)
+	standin.Until(t, "the second watch", func() bool { return len(discovery.Seen()) >= 3 })
+	for range 10 {
+		if status, _, body := ask(t, addr, `m`, "start=0&end=60&step=30"); status != 200 || body != matrix(a1) {
+			t.Fatalf("%d %s", status, body)
+		}
+	}
+	if n := len(drains.Seen()); n != 0 {
+		t.Fatalf("%d parts went to a server that drains", n)
+	}
+}
+
 func TestNoRoomIsARefusal(t *testing.T) {
 	addr := start(t, map[string]any{"bounds": map[string]any{"maxOpen": 1}}, fixed(t, 200, matrix(a1)))
 	status, after, body := ask(t, addr, `m`, "start=0&end=60&step=30")
