--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -231,6 +231,7 @@
 			}
 		}
 		c.keep(func(f *frame) bool { return f.begun })
+		c.calls = c.count()
 		c.mu.Unlock()
 	}
 	return back
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -276,6 +276,9 @@
 	if back := n.Stop(id); len(back) != 2 || back[0] != all[1] || back[1] != all[3] {
 		t.Fatalf("%v", back)
 	}
+	if c.calls != len(c.waiting) {
+		t.Fatalf("%d calls are counted, %d parts wait", c.calls, len(c.waiting))
+	}
 	left := make([]byte, c.out.Len())
 	if c.out.Peek(left, 0); string(left) != "frame0" || len(c.frames) != 1 {
 		t.Fatalf("%q in %d frames", left, len(c.frames))
