Reload the configuration on SIGHUP and move the watch at once

Cause: cmd/lapislever/main.go asked for SIGTERM and SIGINT only, so Go's default ended the program. The watcher could not have moved either: internal/platform/run.go made its calls in line, up to 21.5 s long.

Now main.go takes SIGHUP before anything else, reads and validates the files again and hands the configuration to Coordinator.Reload; a bad file is logged and the old one stays. The watcher's calls run beside its loop, so that a move, a fetch or an end of the subscription cuts the call that is out, dials included, and begins at the new address with the whole list. Fields other than discovery are named in the log as taking a restart. Queries, nodes and their connections are not touched.

Ruled out: a loss of what the old address still says. What it wrote and we did not read is in the new one's whole list, fetched within the same millisecond.

Tests: TestReloadMovesTheWatch (call out on the old address, a silent address between, a query held over it) and TestHangUpReloads (real signals; without the handler the first ends the test program).

--- a/cmd/lapislever/main.go
+++ b/cmd/lapislever/main.go
@@ -35,9 +35,7 @@
 `
 
 func main() {
-	ends := make(chan os.Signal, 1)
-	signal.Notify(ends, syscall.SIGTERM, syscall.SIGINT)
-	err := run(os.Args[1:], os.Stdout, os.Stderr, os.Getenv, ends)
+	err := run(os.Args[1:], os.Stdout, os.Stderr, os.Getenv, listenSignals())
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "lapislever:", err)
 	}
@@ -49,7 +47,15 @@
 	}
 }
 
-func run(args []string, stdout, stderr io.Writer, env func(string) string, ends <-chan os.Signal) error {
+// listenSignals takes the signals that a running coordinator obeys, before anything else is done: SIGHUP
+// would else end the program. There is room for an end behind a reload that is not done yet.
+func listenSignals() <-chan os.Signal {
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	return signals
+}
+
+func run(args []string, stdout, stderr io.Writer, env func(string) string, signals <-chan os.Signal) error {
 	if len(args) == 0 {
 		fmt.Fprint(stderr, usage)
 		return fmt.Errorf("%w: a command is needed", errUsage)
@@ -107,7 +113,17 @@
 	if err != nil {
 		return err
 	}
-	<-ends
+	for s := range signals {
+		if s != syscall.SIGHUP {
+			break
+		}
+		// A file that cannot be used must not take down what works.
+		if fresh, _, err := load(ranges, env, log); err != nil {
+			log.Error("configuration not reloaded: the old one stays", "err", err)
+		} else {
+			k.Reload(fresh)
+		}
+	}
 	k.Shutdown()
 	return nil
 }
--- a/cmd/lapislever/main_test.go
+++ b/cmd/lapislever/main_test.go
@@ -6,8 +6,11 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
+
+	"lapislever/internal/standin"
 )
 
 func write(t *testing.T, name, text string) string {
@@ -22,12 +25,14 @@
 const workers = "worker.list=l\nworker.l.type=lb\nworker.l.balance_workers=a\nworker.l.retries=2\n" +
 	"worker.a.port=9101\n"
 
-func TestCommandLine(t *testing.T) {
-	sound := write(t, "promql.toml", `listen = "127.0.0.1:0"
+const sound = `listen = "127.0.0.1:0"
 [[server]]
 name = "a"
 address = "127.0.0.1:1"
-`)
+`
+
+func TestCommandLine(t *testing.T) {
+	sound := write(t, "promql.toml", sound)
 	unsound := write(t, "bad.toml", "listen = 3\n")
 	jk := write(t, "workers.properties", workers)
 	for _, c := range []struct {
@@ -79,3 +84,50 @@
 		t.Error(log.String())
 	}
 }
+
+// SIGHUP reads the file again and ends nothing: a bad file is logged and the old one kept. SIGTERM behind it
+// still ends in order. Without a handler the first signal would end this very test.
+func TestHangUpReloads(t *testing.T) {
+	path := write(t, "promql.toml", sound)
+	signals := listenSignals()
+	var log lines
+	ended := make(chan error, 1)
+	go func() {
+		ended <- run([]string{"serve", "--promql", path}, &log, &log, func(string) string { return "" }, signals)
+	}()
+	send := func(s syscall.Signal, want string) {
+		t.Helper()
+		if err := syscall.Kill(os.Getpid(), s); err != nil {
+			t.Fatal(err)
+		}
+		standin.Until(t, want, func() bool { return strings.Contains(log.String(), want) })
+	}
+	standin.Until(t, "the start", func() bool { return strings.Contains(log.String(), "msg=started") })
+	send(syscall.SIGHUP, "configuration reloaded")
+	if err := os.WriteFile(path, []byte("listen = 3\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	send(syscall.SIGHUP, "the old one stays")
+	send(syscall.SIGTERM, "msg=ended")
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+}
+
+// lines is a stream that may be read while it is written.
+type lines struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -296,6 +296,43 @@
 	}
 }
 
+// A reload moves the watch at once, also with a call out on the old address, and begins with the whole list.
+// What is held meanwhile is answered, and the known nodes serve while the new address is silent.
+func TestReloadMovesTheWatch(t *testing.T) {
+	free := make(chan struct{})
+	a := standin.NewNode(t, func(p standin.Part) (string, string) { <-free; return ok(p) })
+	b := standin.NewNode(t, ok)
+	first := newDiscovery(t, hostAt("a", a.Addr, 0))
+	k := run(t, config(t, first))
+	standin.Until(t, "a call that waits", func() bool { return len(first.queries()) == 2 })
+	held := make(chan int, 1)
+	go func() { held <- post(t, k, "rate-check", 0).Status }()
+	standin.Until(t, "the part", func() bool { return len(a.Parts()) > 0 })
+	mute := standin.NewHTTP(t, func(string, url.Values) (int, string) { return 0, "" })
+	begun := time.Now()
+	k.Reload(config(t, &discovery{addr: mute.Addr}))
+	standin.Until(t, "the call to a silent address", func() bool { return len(mute.Seen()) == 1 })
+	if took := time.Since(begun); took > watchWait/2 { // the call that is out would last longer
+		t.Errorf("the move took %v", took)
+	}
+	close(free)
+	if got := <-held; got != 200 {
+		t.Errorf("what was held got %d", got)
+	}
+	second := newDiscovery(t, hostAt("a", a.Addr, 0), hostAt("b", b.Addr, 1))
+	k.Reload(config(t, second))
+	standin.Until(t, "the watch at the new address", func() bool { return len(second.queries()) == 2 })
+	if got := second.queries(); got[0] != "" || got[1] != "index=41&wait=20000" {
+		t.Errorf("%q", got)
+	}
+	if r := post(t, k, "rate-check", 0, 1); r.Status != 200 {
+		t.Errorf("%d: known nodes or new ones are lost", r.Status)
+	}
+	if n := len(first.queries()); n != 2 {
+		t.Errorf("%d calls to the old address", n)
+	}
+}
+
 func TestNotReadyBeforeAnyList(t *testing.T) {
 	mute := standin.NewHTTP(t, func(string, url.Values) (int, string) { return 0, "" })
 	k, err := Start(config(t, &discovery{addr: mute.Addr}), standin.Quiet())
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"sync"
@@ -64,6 +65,9 @@
 	extras []Extra
 	stop   chan struct{}
 	halted sync.Once
+
+	watcher   *watcher
+	discovery string // the address in use; Reload's own
 }
 
 // ApplyLimits keeps this process within the platform's limits on cores and memory.
@@ -74,7 +78,7 @@
 
 // Start starts a coordinator.
 func Start(cfg *Config, log *slog.Logger, extras ...Extra) (*Coordinator, error) {
-	k := &Coordinator{cfg: cfg, log: log, extras: extras, stop: make(chan struct{})}
+	k := &Coordinator{cfg: cfg, log: log, extras: extras, stop: make(chan struct{}), discovery: cfg.Discovery}
 	most := max(32, cfg.Limits.Sockets-ownSockets)
 	budget := lnet.NewBudget(most, most/nodeShare)
 	post := func(e core.Event) { k.core.Post(e) }
@@ -94,7 +98,8 @@
 		conf.Peers = k.peers
 	}
 	w := &watcher{cfg: cfg, log: log, nodes: k.nodes, post: post, on: make(chan bool, 16),
-		fetch: make(chan struct{}, 16), stop: k.stop}
+		fetch: make(chan struct{}, 16), move: make(chan string), stop: k.stop}
+	k.watcher = w
 	if cfg.Module.Subscribe {
 		conf.Lister = w
 	}
@@ -135,6 +140,30 @@
 // Addr is the address that clients reach.
 func (k *Coordinator) Addr() string { return k.server.Addr() }
 
+// Reload takes in a configuration that was read anew. Of a running coordinator only discovery's address can
+// change: the watch moves there at once and begins with the whole list. Queries and known nodes stay. What
+// else differs is named in the log and takes a restart. It must not be called from two goroutines at once.
+func (k *Coordinator) Reload(cfg *Config) {
+	for _, f := range []struct {
+		name     string
+		old, new any
+	}{
+		{"name", k.cfg.Name, cfg.Name}, {"listen", k.cfg.Listen, cfg.Listen},
+		{"limits", k.cfg.Limits, cfg.Limits}, {"peer_listen", k.cfg.PeerListen, cfg.PeerListen},
+		{"peers", k.cfg.Peers, cfg.Peers}, {"peers_all", k.cfg.PeersAll, cfg.PeersAll},
+		{"settings", k.cfg.Settings, cfg.Settings},
+	} {
+		if !reflect.DeepEqual(f.old, f.new) {
+			k.log.Warn("a change of the configuration takes a restart", "field", f.name)
+		}
+	}
+	if cfg.Discovery != "" && k.discovery != "" { // else there is no watch, as the range-query front alone has none
+		k.discovery = cfg.Discovery
+		k.watcher.moveTo(cfg.Discovery)
+	}
+	k.log.Info("configuration reloaded", "discovery", k.discovery)
+}
+
 // Shutdown ends in order: not ready any more, then everything that was taken is answered, then the end.
 func (k *Coordinator) Shutdown() {
 	begun := time.Now()
@@ -200,6 +229,7 @@
 	post  func(core.Event)
 	on    chan bool
 	fetch chan struct{}
+	move  chan string
 	stop  chan struct{}
 	seq   int64
 }
@@ -220,52 +250,82 @@
 	}
 }
 
+// moveTo makes discovery's address another one.
+func (w *watcher) moveTo(addr string) {
+	select {
+	case w.move <- addr:
+	case <-w.stop:
+	}
+}
+
 // run keeps the list up to date. Each next call follows the last answer at once, so that the watch goes on.
+// A call runs beside this loop: one that waits, or still dials, must not hold up a move to another address.
 func (w *watcher) run(watching bool) {
-	var c *lnet.Client
+	addr := w.cfg.Discovery
 	asked := !watching // by the module, which wants to hear of a failure
-	wait := watchRetry
-	whole := true
-	always := make(chan struct{})
-	close(always)
+	wait, whole, wanted := watchRetry, true, false
+	var c *lnet.Client // at rest between calls
+	var out *watchCall
+	var again <-chan time.Time // after a failure
+	abandon := func() {
+		if out != nil {
+			out.cancel()
+			out = nil
+		}
+		if c != nil {
+			c.Close()
+			c = nil
+		}
+	}
 	for {
-		var on <-chan struct{} // ready at once while we watch
-		if watching {
-			on = always
+		if out == nil && again == nil && (watching || wanted) {
+			wanted = false
+			target, limit := "/discovery/hosts", watchSlack
+			if !whole {
+				target = fmt.Sprintf("/discovery/hosts?index=%d&wait=%d", w.seq, watchWait.Milliseconds())
+				limit += watchWait
+			}
+			out = &watchCall{c: c, done: make(chan watchResult, 1)}
+			c = nil
+			go out.run(addr, target, limit)
+		}
+		var done <-chan watchResult
+		if out != nil {
+			done = out.done
 		}
 		select {
 		case watching = <-w.on:
-			continue
+			if !watching {
+				abandon()
+			}
 		case <-w.fetch:
-			whole = true
+			abandon()
+			whole, wanted, again = true, true, nil
+		case <-again:
+			again = nil
+		case addr = <-w.move:
+			// What a call to the old address would still bring is in the new one's whole list.
+			abandon()
+			wait, whole, again = watchRetry, true, nil
 		case <-w.stop:
+			abandon()
 			return
-		case <-on:
-		}
-		target := "/discovery/hosts"
-		limit := watchSlack
-		if !whole {
-			target = fmt.Sprintf("/discovery/hosts?index=%d&wait=%d", w.seq, watchWait.Milliseconds())
-			limit += watchWait
-		}
-		list, err := w.call(&c, target, limit)
-		if err != nil {
-			w.log.Warn("discovery did not answer", "err", err)
+		case r := <-done:
+			c, out = r.c, nil
+			if r.err == nil {
+				wait, whole = watchRetry, false
+				w.take(r.list)
+				continue
+			}
+			w.log.Warn("discovery did not answer", "address", addr, "err", r.err)
 			if asked {
 				watching = false
 				w.post(core.Listed{Mode: balance.Failed})
 				continue
 			}
-			select {
-			case <-time.After(wait):
-			case <-w.stop:
-				return
-			}
+			again = time.After(wait)
 			wait = min(2*wait, watchMost)
-			continue
 		}
-		wait, whole = watchRetry, false
-		w.take(list)
 	}
 }
 
@@ -283,19 +343,60 @@
 	w.post(core.Listed{Mode: mode, Replicas: w.cfg.replicas(list.Hosts)})
 }
 
-func (w *watcher) call(c **lnet.Client, target string, limit time.Duration) (*hostList, error) {
-	if *c == nil || !(*c).Sound() {
-		if *c != nil {
-			(*c).Close()
-			*c = nil
+// watchCall is one call to discovery.
+type watchCall struct {
+	done chan watchResult
+	mu   sync.Mutex // guards c, over
+	c    *lnet.Client
+	over bool
+}
+
+// watchResult is how a call ended; the connection, if it can carry the next one, comes along.
+type watchResult struct {
+	list *hostList
+	c    *lnet.Client
+	err  error
+}
+
+// cancel ends a call that nobody waits for any more, also one that still dials.
+func (k *watchCall) cancel() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.over = true
+	if k.c != nil {
+		k.c.Close()
+	}
+}
+
+func (k *watchCall) run(addr, target string, limit time.Duration) {
+	list, err := k.call(addr, target, limit)
+	k.mu.Lock()
+	c := k.c
+	if k.over || c != nil && (err != nil || !c.Sound()) {
+		if c != nil {
+			c.Close()
 		}
-		fresh, err := lnet.Dial(w.cfg.Discovery, time.Second, maxList)
+		c = nil
+	}
+	k.mu.Unlock()
+	k.done <- watchResult{list: list, c: c, err: err}
+}
+
+func (k *watchCall) call(addr, target string, limit time.Duration) (*hostList, error) {
+	if k.c == nil {
+		c, err := lnet.Dial(addr, time.Second, maxList)
 		if err != nil {
 			return nil, err
 		}
-		*c = fresh
+		k.mu.Lock()
+		k.c = c
+		over := k.over
+		k.mu.Unlock()
+		if over {
+			return nil, net.ErrClosed
+		}
 	}
-	reply, err := (*c).Do("GET", target, w.cfg.Discovery, nil, nil, time.Now().Add(limit))
+	reply, err := k.c.Do("GET", target, addr, nil, nil, time.Now().Add(limit))
 	if err != nil {
 		return nil, err
 	}
