--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -157,7 +157,7 @@
 			k.log.Warn("a change of the configuration takes a restart", "field", f.name)
 		}
 	}
-	if cfg.Discovery != "" && k.discovery != "" { // else there is no watch, as the range-query front alone has none
+	if cfg.Discovery != "" && k.discovery != "" { // else there is no watch: the range-query front runs alone
 		k.discovery = cfg.Discovery
 		k.watcher.moveTo(cfg.Discovery)
 	}
