--- a/cmd/lapislever/main.go
+++ b/cmd/lapislever/main.go
@@ -113,19 +113,27 @@
 	if err != nil {
 		return err
 	}
-	for s := range signals {
-		if s != syscall.SIGHUP {
-			break
-		}
-		// A file that cannot be used must not take down what works.
-		if fresh, _, err := load(ranges, env, log); err != nil {
-			log.Error("configuration not reloaded: the old one stays", "err", err)
-		} else {
-			k.Reload(fresh)
+	ended := make(chan struct{})
+	ending := false
+	for {
+		select {
+		case s := <-signals:
+			switch {
+			case s != syscall.SIGHUP && !ending:
+				ending = true
+				go func() { k.Shutdown(); close(ended) }()
+			case s == syscall.SIGHUP: // while ending too: what is still open wants to hear of its nodes
+				// A file that cannot be used must not take down what works.
+				if fresh, _, err := load(ranges, env, log); err != nil {
+					log.Error("configuration not reloaded: the old one stays", "err", err)
+				} else {
+					k.Reload(fresh)
+				}
+			}
+		case <-ended:
+			return nil
 		}
 	}
-	k.Shutdown()
-	return nil
 }
 
 // load reads the configuration, and the range-query front's file where one is given.
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -250,6 +250,7 @@
 	mu      sync.Mutex
 	conns   map[*serverConn]struct{}
 	closing atomic.Bool
+	last    atomic.Int64 // when a request last came, in Unix nanoseconds
 	rings   pool
 	spare   atomic.Int64 // connections beyond the budget that are just being refused
 	wg      sync.WaitGroup
@@ -337,6 +338,9 @@
 	}
 }
 
+// LastRequest is when a request last came.
+func (s *Server) LastRequest() time.Time { return time.Unix(0, s.last.Load()) }
+
 // Open counts the connections.
 func (s *Server) Open() int {
 	s.mu.Lock()
@@ -563,6 +567,7 @@
 		return Response{Status: 503, Header: [][2]string{{"Retry-After", "1"}},
 			Body: []byte("too many connections\n")}, true
 	}
+	c.s.last.Store(req.At.UnixNano())
 	gone := c.s.handle(req, x)
 	c.signal() // the word of an end that came along with the request may have been taken with it
 	for {
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -30,9 +30,12 @@
 	ownSockets  = 40 // descriptors for all but clients and nodes
 	nodeShare   = 4  // one in so many descriptors is kept for nodes
 
-	// An ending coordinator goes on accepting for as long as new connections may still come, and answers
-	// all that it took well before it may be killed.
+	// An ending coordinator goes on accepting for as long as new connections may still come, serves the ones
+	// it has for as long as their clients use them and there is time, and answers all that it took well
+	// before it may be killed.
 	acceptOn    = 600 * time.Millisecond
+	serveOn     = 2400 * time.Millisecond
+	quietOn     = 500 * time.Millisecond // without a request, for clients to count as gone elsewhere
 	answerOn    = 3200 * time.Millisecond
 	endingLimit = 3500 * time.Millisecond
 )
@@ -48,8 +51,10 @@
 
 // ender is a listener with its connections, as far as ending goes.
 type ender interface {
-	Finish()        // from now on replies end their connections
-	StopListening() // no new connections
+	Retire()                // tells who asks that it is not ready any more
+	StopListening()         // no new connections
+	LastRequest() time.Time // when a request last came
+	Finish()                // from now on replies end their connections, and idle ones are closed
 	Wait(most time.Duration) bool
 }
 
@@ -164,26 +169,39 @@
 	k.log.Info("configuration reloaded", "discovery", k.discovery)
 }
 
-// Shutdown ends in order: not ready any more, then everything that was taken is answered, then the end.
+// Shutdown ends in order: not ready any more, then no new connections, then, once the clients have gone
+// elsewhere or time is short, no requests either; everything that was taken is answered, and then the end.
+// Clients that have no coordinator to go to, as the others may be ending too, are served until then.
 func (k *Coordinator) Shutdown() {
 	begun := time.Now()
 	k.log.Info("ending")
 	k.front.ready.Store(false)
 	var ends []ender
 	if k.server != nil {
-		ends = append(ends, k.server)
+		ends = append(ends, platformEnd{k.server})
 	}
 	for _, x := range k.extras {
 		ends = append(ends, x)
 	}
 	for _, x := range ends {
-		x.Finish()
+		x.Retire()
 	}
 	idle := k.core.Finish(begun.Add(answerOn))
 	time.Sleep(acceptOn)
 	for _, x := range ends {
 		x.StopListening()
-		x.Finish() // once more: what came meanwhile and is idle
+	}
+	for used := true; used && time.Since(begun) < serveOn; {
+		used = false
+		for _, x := range ends {
+			used = used || time.Since(x.LastRequest()) < quietOn
+		}
+		if used {
+			time.Sleep(quietOn / 10)
+		}
+	}
+	for _, x := range ends {
+		x.Finish()
 	}
 	select {
 	case <-idle:
@@ -197,6 +215,12 @@
 	k.log.Info("ended", "took", time.Since(begun))
 }
 
+// platformEnd is the platform's front as far as ending goes; /up says by itself that it is not ready.
+type platformEnd struct{ *lnet.Server }
+
+// Retire has nothing left to do.
+func (platformEnd) Retire() {}
+
 // Close ends at once, as a test wants it.
 func (k *Coordinator) Close() {
 	if k.server != nil {
--- a/internal/promql/front.go
+++ b/internal/promql/front.go
@@ -256,11 +256,14 @@
 // Addr is the address that clients reach.
 func (f *Front) Addr() string { return f.listener.Addr() }
 
+// Retire tells who asks that this front is not ready any more.
+func (f *Front) Retire() { f.ending.Store(true) }
+
+// LastRequest is when a request last came.
+func (f *Front) LastRequest() time.Time { return f.listener.LastRequest() }
+
 // Finish lets every reply end its connection.
-func (f *Front) Finish() {
-	f.ending.Store(true)
-	f.listener.Finish()
-}
+func (f *Front) Finish() { f.listener.Finish() }
 
 // StopListening closes the listener.
 func (f *Front) StopListening() { f.listener.StopListening() }
