Serve on while ending, until clients are gone or time is short

By the logs n1 was told to end at 12.88 s and was started again at 17.34 s, n0 was told at 15.88 s and had ended at 16.48 s: for 0.86 s there was no coordinator at all. Cause: Shutdown (internal/platform/run.go) closed the listener after 0.6 s and let each reply end its connection from the first moment on, though it may go on for 3.7 s and clients use their connections for as long as these stay open.

Checked by a probe in the ending loop (connections open, requests, most at once, accepts, per 50 ms): - with connections kept open, requests went on at the full rate; no new connections were dealt after the first 0.6 s; - in the plays that still failed, all requests stopped within 10 ms, and just then as many were out at once as connections were open (30 to 34 of 33): the next one would have needed a new connection.

Ruled out: CPU (0.1 s in a second at most), queries lost (none), the end by quiet (with it switched off the connections stayed unused all the same), slow starts (20 ms to ready).

Now the listener and the connections stay until no request has come for 0.5 s, 0.6 s to 2.4 s after SIGTERM; only then replies end their connections, and what was taken is answered by 3.2 s as before.

--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -30,9 +30,8 @@
 	ownSockets  = 40 // descriptors for all but clients and nodes
 	nodeShare   = 4  // one in so many descriptors is kept for nodes
 
-	// An ending coordinator goes on accepting for as long as new connections may still come, serves the ones
-	// it has for as long as their clients use them and there is time, and answers all that it took well
-	// before it may be killed.
+	// An ending coordinator goes on serving for as long as new connections may still come, and beyond that for
+	// as long as clients use it and there is time; it answers all that it took well before it may be killed.
 	acceptOn    = 600 * time.Millisecond
 	serveOn     = 2400 * time.Millisecond
 	quietOn     = 500 * time.Millisecond // without a request, for clients to count as gone elsewhere
@@ -169,9 +168,9 @@
 	k.log.Info("configuration reloaded", "discovery", k.discovery)
 }
 
-// Shutdown ends in order: not ready any more, then no new connections, then, once the clients have gone
-// elsewhere or time is short, no requests either; everything that was taken is answered, and then the end.
-// Clients that have no coordinator to go to, as the others may be ending too, are served until then.
+// Shutdown ends in order: not ready any more; then, once the clients have gone elsewhere or time is short, no
+// new connections or requests; everything that was taken is answered, and then the end. Until then clients
+// that have no coordinator to go to, as the others may be starting anew just now, are served as ever.
 func (k *Coordinator) Shutdown() {
 	begun := time.Now()
 	k.log.Info("ending")
@@ -188,9 +187,6 @@
 	}
 	idle := k.core.Finish(begun.Add(answerOn))
 	time.Sleep(acceptOn)
-	for _, x := range ends {
-		x.StopListening()
-	}
 	for used := true; used && time.Since(begun) < serveOn; {
 		used = false
 		for _, x := range ends {
@@ -201,6 +197,7 @@
 		}
 	}
 	for _, x := range ends {
+		x.StopListening()
 		x.Finish()
 	}
 	select {
