End a connection at the first spoilt byte, blame no node for it, forget replaced nodes

But: - one spoilt answer reset all parts on its connection (up to 8), and each counted against the node as a lost part: 16.18 s one broken frame, 5 parts, by 18.2 s the node avoided, 36 queries refused until 20.18 s; - an answer under an unknown id was dropped as a late one, so its part waited for its time-out; - a frame stated too long swallowed the next answer, or was waited for; up to three bytes of noise stayed in front of the next answer; - a report with a space made a good answer a broken one; half a report passed for an idle node. Lines at fault: nodes.go read, frame, parseAnswer; config.go report; balance.go settle (Reset).

Reports are whole or ignored.

Replaced nodes: Nodes.nodes was never pruned. What a whole list leaves out or a change calls terminated is forgotten with its last connection; the module already forgets a replica once nothing is out there, and looks at its listed start if it should come again.

--- a/balance/api.go
+++ b/balance/api.go
@@ -170,6 +170,7 @@
 	Reset                       // the connection broke
 	Cancelled                   // withdrawn
 	NotSent                     // never transmitted
+	Spoilt                      // the replica answered, but what came cannot be read, nor what would come after
 )
 
 // EventKind tells which fields of an Event count.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -339,6 +339,7 @@
 	}
 	b.fade(r)
 	switch {
+	case e.Outcome == Spoilt:
 	case e.Outcome != OK:
 		r.own.add(lostTime*b.minAim, 1)
 	case !r.lost:
@@ -462,6 +463,8 @@
 		}
 		b.blame(r, p.q.class, lostTime*b.minAim)
 		b.adjust(r, -weightStep*lossError)
+	case Spoilt: // tells nothing of how fast it is: of a replica that only ever spoils the weight takes care
+		b.adjust(r, -weightStep*lossTimeout)
 	case TimedOut:
 		if !t.overdue {
 			b.adjust(r, -weightStep*lossTimeout)
--- a/balance/guards_test.go
+++ b/balance/guards_test.go
@@ -219,3 +219,27 @@
 		t.Fatalf("refused with advice: %v, want %d and %d", done, held, late)
 	}
 }
+
+// Spoilt answers come from any replica alike and tell nothing of its speed: it is not shunned for one, and
+// the part goes elsewhere at once. One that only ever spoils loses its weight.
+func TestSpoiltAnswerIsNoLoad(t *testing.T) {
+	k := start(t, settings(), ready(2)...)
+	id := k.query(0, 1)
+	first := one(t, Send, k.out)
+	r := k.b.byID[first.Replica]
+	before := k.b.expect(r, 0)
+	if next := one(t, Send, k.result(id+1, 0, first.Replica, Spoilt)); next.Replica == first.Replica {
+		t.Error("the part went to the same replica")
+	}
+	if after := k.b.expect(r, 0); after != before {
+		t.Errorf("a part there is now expected to take %.0f us, not %.0f", after, before)
+	}
+	for range 20 {
+		k.b.adjust(r, 0)
+		k.b.settle(&part{q: &query{}, live: 1}, &attempt{r: r, call: &call{live: 1}, sent: k.now},
+			&Event{Kind: Result, Outcome: Spoilt})
+	}
+	if r.weight > midWeight/4 {
+		t.Errorf("weight %.0f after twenty spoilt answers in a row", r.weight)
+	}
+}
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -240,24 +240,30 @@
 	return -1
 }
 
-// report reads a load report, `name=value` joined by commas, in the order of the settings' columns.
+// report reads a load report, `name=value` joined by commas, in the order of the settings' columns. One that
+// cannot be read, or lacks a column, tells nothing: half of it would pass for an idle node.
 func (c *Config) report(text string) []float32 {
 	if text == "-" || text == "" || len(c.Columns) == 0 {
 		return nil
 	}
 	out := make([]float32, len(c.Columns))
+	lacking := len(c.Columns)
 	for _, item := range strings.Split(text, ",") {
 		name, value, _ := strings.Cut(item, "=")
 		v, err := strconv.ParseFloat(value, 32)
-		if err != nil {
-			continue
+		if err != nil || !(v >= 0) || math.IsInf(v, 0) {
+			return nil
 		}
 		for i, col := range c.Columns {
 			if col == name || reportNames[name] == col {
 				out[i] = float32(v)
+				lacking--
 			}
 		}
 	}
+	if lacking != 0 {
+		return nil
+	}
 	return out
 }
 
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -119,7 +119,7 @@
 	go k.core.Run()
 	if cfg.Known != nil { // what was known before a restart: enough to begin with
 		w.seq = cfg.Known.Seq
-		k.nodes.Learn(cfg.Known.Hosts)
+		k.nodes.Learn(cfg.Known.Hosts, true)
 		k.core.Post(core.Listed{Mode: balance.Cached, Replicas: cfg.replicas(cfg.Known.Hosts)})
 	}
 	if k.peers != nil {
@@ -360,7 +360,7 @@
 	if list.Whole {
 		mode = balance.Full
 	}
-	w.nodes.Learn(list.Hosts)
+	w.nodes.Learn(list.Hosts, list.Whole)
 	w.post(core.Listed{Mode: mode, Replicas: w.cfg.replicas(list.Hosts)})
 }
 
