Answer or end bad clients within 2.5 s, make way at their cost, refuse weights that miss 1

Now: 2.5 s from connecting, or from the first byte of a later request; 10 s idle; way is made by those that only read an error yet, then by those that have asked nothing or stopped half-way for 0.3 s, then by the idle. An error is followed by up to 4 s of reading while the client sends. Rings beyond 4 KB are booked on an eighth of the memory limit. A body of known length is looked at again once it is there.

Each has a test: silence and half requests end, an error is read after 1.5 s of sending, a crowd leaves a usual connection alone, memory bounded, the table of bad requests (none reaches a node), an open request's name.

--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -20,17 +20,24 @@
 
 // Sizes and limits of the network code.
 const (
-	MaxBody      = 64 << 10 // a body that the protocol allows
-	MaxHead      = 16 << 10 // a request or status line with its headers
-	firstRing    = 1 << 10
-	largeRing    = 16 << 10        // an emptied ring beyond this gives its memory back
-	outRing      = 16 << 10        // replies are written through it piece by piece
-	poolSize     = 24 << 20        // all clients' rings together, beyond their first size
-	idleLimit    = 3 * time.Minute // a client connection between requests
-	spareLimit   = time.Second     // and of one beyond the budget, until it is refused
-	requestLimit = 10 * time.Second
+	MaxBody    = 64 << 10 // a body that the protocol allows
+	MaxHead    = 16 << 10 // a request or status line with its headers
+	firstRing  = 1 << 10
+	freeRing   = 4 << 10          // up to here a ring grows without being booked: most requests are smaller
+	largeRing  = 16 << 10         // an emptied ring beyond this gives its memory back
+	outRing    = 16 << 10         // replies are written through it piece by piece
+	poolSize   = 24 << 20         // all clients' rings together, beyond that, unless the budget says less
+	drainSize  = 16 << 10         // read at once of what is thrown away
+	idleLimit  = 10 * time.Second // a client connection between requests
+	spareLimit = time.Second      // and of one beyond the budget, until it is refused
+	// A client is owed an answer or the end within 3 s of connecting, also for half a request or none.
+	requestLimit = 2500 * time.Millisecond
 	replyLimit   = 5 * time.Second
-	lingerLimit  = 500 * time.Millisecond
+	// After an error the client may be sending still: it gets to read the error for as long as it sends.
+	lingerLimit = 4 * time.Second
+	lingerQuiet = 500 * time.Millisecond
+	// Before this a client's first request may be under way, and a request that began come to its end.
+	graceLimit = 300 * time.Millisecond
 )
 
 // ErrFull tells that a ring buffer holds as much as it may.
@@ -48,7 +55,7 @@
 type pool struct{ left atomic.Int64 }
 
 func (p *pool) take(n int) bool {
-	if p == nil || p.left.Add(int64(-n)) >= 0 {
+	if p == nil || n <= 0 || p.left.Add(int64(-n)) >= 0 {
 		return true
 	}
 	p.left.Add(int64(n))
@@ -102,7 +109,7 @@
 		size *= 2
 	}
 	size = min(size, r.ceiling)
-	if len(r.buf) >= firstRing && !r.pool.take(size-len(r.buf)) {
+	if !r.pool.take(booked(size) - booked(len(r.buf))) {
 		return false
 	}
 	fresh := make([]byte, size)
@@ -111,9 +118,12 @@
 	return true
 }
 
+// booked is how much of a ring's size counts.
+func booked(size int) int { return max(0, size-freeRing) }
+
 // drop gives the ring's memory back.
 func (r *Ring) drop() {
-	r.pool.give(len(r.buf) - firstRing)
+	r.pool.give(booked(len(r.buf)))
 	r.buf, r.at, r.n = nil, 0, 0
 }
 
@@ -189,10 +199,12 @@
 	return bytes.Index(all, sep)
 }
 
-// Budget counts descriptors that clients and servers share. A part of it is kept for servers, so that a
-// crowd of clients cannot take away the means to serve any of them.
+// Budget counts descriptors that clients and servers share, and the memory of clients' rings. A part of the
+// descriptors is kept for servers, so that a crowd of clients cannot take away the means to serve any of
+// them.
 type Budget struct {
 	used, most, kept atomic.Int64
+	rings            pool
 }
 
 // NewBudget returns a budget of most descriptors with kept of them closed to clients.
@@ -200,9 +212,13 @@
 	b := &Budget{}
 	b.most.Store(int64(most))
 	b.kept.Store(int64(kept))
+	b.rings.left.Store(poolSize)
 	return b
 }
 
+// LimitRings bounds the memory of clients' rings beyond their usual size. It comes before any is used.
+func (b *Budget) LimitRings(bytes int) { b.rings.left.Store(int64(min(bytes, poolSize))) }
+
 func (b *Budget) take(least int64) bool {
 	for {
 		u := b.used.Load()
@@ -251,7 +267,6 @@
 	conns   map[*serverConn]struct{}
 	closing atomic.Bool
 	last    atomic.Int64 // when a request last came, in Unix nanoseconds
-	rings   pool
 	spare   atomic.Int64 // connections beyond the budget that are just being refused
 	wg      sync.WaitGroup
 }
@@ -262,9 +277,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{l: l, handle: h, budget: budget, log: log, conns: map[*serverConn]struct{}{}}
-	s.rings.left.Store(poolSize)
-	return s, nil
+	return &Server{l: l, handle: h, budget: budget, log: log, conns: map[*serverConn]struct{}{}}, nil
 }
 
 // Addr is the address listened on.
@@ -293,8 +306,8 @@
 			continue
 		}
 		sc := &serverConn{s: s, c: c, in: NewRing(MaxHead + MaxBody), out: NewRing(outRing), held: held,
-			more: make(chan struct{}, 1), idle: time.Now(), waiting: true}
-		sc.in.pool, sc.out.pool = &s.rings, &s.rings
+			more: make(chan struct{}, 1), since: time.Now(), state: waiting}
+		sc.in.pool, sc.out.pool = &s.budget.rings, &s.budget.rings
 		s.mu.Lock()
 		s.conns[sc] = struct{}{}
 		s.mu.Unlock()
@@ -304,24 +317,28 @@
 	}
 }
 
-// evict closes the client connection that has been without a request for the longest time, as the protocol
-// allows, so that a crowd of idle ones does not keep new clients out.
+// evict closes the client connection that can best be spared, so that a crowd does not keep others out: one
+// that only reads an error yet, one that has asked nothing or has stopped in the middle of its first request,
+// else the one that has been without a request for the longest time, as the protocol allows.
 func (s *Server) evict() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var oldest *serverConn
+	var spared *serverConn
 	var since time.Time
+	worst := kept
 	for c := range s.conns {
-		if at, idle := c.waitsIdle(); idle && c.held && (oldest == nil || at.Before(since)) {
-			oldest, since = c, at
+		if !c.held {
+			continue
+		}
+		if use, at := c.use(); use < worst || use == worst && use != kept && at.Before(since) {
+			spared, worst, since = c, use, at
 		}
 	}
-	if oldest == nil {
+	if spared == nil || !spared.spare() {
 		return false
 	}
-	oldest.shut()
-	delete(s.conns, oldest)
-	oldest.giveBack()
+	delete(s.conns, spared)
+	spared.giveBack()
 	return true
 }
 
@@ -332,7 +349,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if _, idle := c.waitsIdle(); idle {
+		if c.atRest() {
 			c.shut()
 		}
 	}
@@ -367,23 +384,86 @@
 type serverConn struct {
 	s       *Server
 	c       net.Conn
-	mu      sync.Mutex // guards in, err, at, waiting, idle
+	mu      sync.Mutex // guards in, err, at, state, since, asked
 	in, out *Ring
 	more    chan struct{}
 	err     error
 	at      time.Time // of the last byte read
-	waiting bool      // between requests
-	idle    time.Time
-	over    int  // goroutines that have ended
-	held    bool // has a place in the budget; guarded by the server's mu
+	state   connState
+	since   time.Time // when this state began
+	asked   bool      // has had a request answered
+	over    int       // goroutines that have ended
+	held    bool      // has a place in the budget; guarded by the server's mu
 	back    bool
 }
 
-// waitsIdle tells whether nothing of a request has been read, and since when.
-func (c *serverConn) waitsIdle() (time.Time, bool) {
+type connState uint8
+
+const (
+	waiting   connState = iota // for a request, or in the middle of one
+	serving                    // a request
+	lingering                  // an error is written; what still comes is thrown away
+	spared                     // closed to make way
+)
+
+// connUse tells how well a connection can be spared, best first.
+type connUse uint8
+
+const (
+	ending  connUse = iota // has its error
+	useless                // no whole request in a time in which others have long asked
+	idle                   // between requests
+	fresh                  // may just be about to ask
+	kept                   // has a request that is not answered
+)
+
+// use tells what a connection is good for, and since when.
+func (c *serverConn) use() (connUse, time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.idle, c.waiting && c.in.Len() == 0
+	switch late := time.Since(c.since) > graceLimit; {
+	case c.state == lingering:
+		return ending, c.since
+	case c.state != waiting:
+		return kept, c.since
+	case late && !c.asked:
+		return useless, c.since
+	case c.in.Len() > 0:
+		return kept, c.since
+	case c.asked:
+		return idle, c.since
+	}
+	return fresh, c.since
+}
+
+// atRest tells that nothing of a request has been read.
+func (c *serverConn) atRest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state == waiting && c.in.Len() == 0
+}
+
+// spare closes the connection if no request was taken from it meanwhile.
+func (c *serverConn) spare() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == serving {
+		return false
+	}
+	c.state = spared
+	c.shut()
+	return true
+}
+
+// become notes what the connection does from now on. It returns false once it was closed to make way.
+func (c *serverConn) become(s connState) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == spared {
+		return false
+	}
+	c.state, c.since = s, time.Now()
+	return true
 }
 
 func (c *serverConn) shut() { _ = c.c.Close() }
@@ -408,51 +488,69 @@
 	}
 }
 
+// drains are the buffers for what is thrown away.
+var drains = sync.Pool{New: func() any { return new([drainSize]byte) }}
+
+// drain reads what comes after an error and throws it away, up to the end.
+func (c *serverConn) drain() error {
+	buf := drains.Get().(*[drainSize]byte)
+	defer drains.Put(buf)
+	for {
+		_, err := c.c.Read(buf[:])
+		if errors.Is(err, os.ErrDeadlineExceeded) { // linger's word, which came while this had begun
+			_ = c.c.SetReadDeadline(time.Time{})
+		} else if err != nil {
+			return err
+		}
+		c.mu.Lock()
+		c.at = time.Now()
+		c.mu.Unlock()
+	}
+}
+
 // fill reads what comes, also while a request waits for its reply: only so is a client's end seen at once.
 func (c *serverConn) fill() {
 	defer c.s.wg.Done()
-	for {
+	for ended := false; !ended; {
 		c.mu.Lock()
 		free := c.in.Free()
+		drop := c.state == lingering
+		ended = c.err != nil
 		c.mu.Unlock()
-		if free == nil { // far more than a request, or no memory: let serve make room or give up on it
+		var err error
+		switch {
+		case ended:
+			continue
+		case drop:
+			err = c.drain()
+		case free == nil: // far more than a request, or no memory: let serve make room or give up on it
 			time.Sleep(10 * time.Millisecond)
+			continue
+		default:
+			var n int
+			n, err = c.c.Read(free)
 			c.mu.Lock()
-			ended := c.err != nil
-			if ended {
-				c.over++
-				c.leave()
+			c.in.Grew(n)
+			if n > 0 {
+				c.at = time.Now()
 			}
 			c.mu.Unlock()
-			if ended {
-				return
-			}
-			continue
-		}
-		n, err := c.c.Read(free)
-		c.mu.Lock()
-		c.in.Grew(n)
-		if n > 0 {
-			c.at = time.Now()
 		}
-		if errors.Is(err, os.ErrDeadlineExceeded) { // serve wants the ring's memory back
+		if errors.Is(err, os.ErrDeadlineExceeded) { // serve wants the ring's memory back, or all thrown away
 			err = nil
 			_ = c.c.SetReadDeadline(time.Time{})
 		}
+		c.mu.Lock()
 		if err != nil && c.err == nil {
 			c.err = err
 		}
-		ended := c.err != nil
 		c.mu.Unlock()
 		c.signal()
-		if ended {
-			c.mu.Lock()
-			c.over++
-			c.leave()
-			c.mu.Unlock()
-			return
-		}
 	}
+	c.mu.Lock()
+	c.over++
+	c.leave()
+	c.mu.Unlock()
 }
 
 // leave gives the rings back once both goroutines are done with them.
@@ -465,27 +563,40 @@
 
 // next waits for a whole request.
 func (c *serverConn) next() (*Request, error) {
-	c.mu.Lock()
-	c.waiting, c.idle = true, time.Now()
-	c.mu.Unlock()
+	if !c.become(waiting) {
+		return nil, net.ErrClosed
+	}
 	var began time.Time
+	var lack lacks
 	continued := false
 	limit := idleLimit
 	if !c.held { // one of the few places for those that are to be refused
 		limit = spareLimit
+	} else if !c.asked {
+		limit = requestLimit
 	}
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	for {
 		c.mu.Lock()
+		if c.state == spared {
+			c.mu.Unlock()
+			return nil, net.ErrClosed
+		}
 		if began.IsZero() && c.in.Len() > 0 {
 			began = time.Now()
-			timer.Reset(min(limit, requestLimit))
+			if c.asked {
+				timer.Reset(min(limit, requestLimit))
+			}
+		}
+		var req *Request
+		var err error
+		if c.in.Len() >= lack.bytes { // else it would only be looked through again
+			req, lack, err = parseRequest(c.in, c.at)
 		}
-		req, wants, err := parseRequest(c.in, c.at)
 		gone := c.err
 		if req != nil {
-			c.waiting = false
+			c.state, c.since, c.asked = serving, time.Now(), true
 		}
 		c.mu.Unlock()
 		switch {
@@ -496,7 +607,7 @@
 		case gone != nil:
 			return nil, gone
 		}
-		if wants && !continued {
+		if lack.word && !continued {
 			continued = true
 			if _, err := c.c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 				return nil, err
@@ -596,24 +707,30 @@
 }
 
 // linger lets the client read the reply before the connection goes: closing while bytes of the client lie
-// unread resets the connection, and a reset can overtake the reply.
+// unread resets the connection, and a reset can overtake the reply. One that is still sending gets that long.
 func (c *serverConn) linger() {
+	if !c.become(lingering) {
+		return
+	}
 	if t, ok := c.c.(*net.TCPConn); ok {
 		_ = t.CloseWrite()
 	}
-	timer := time.NewTimer(lingerLimit)
-	defer timer.Stop()
-	for {
-		c.mu.Lock()
-		c.in.Discard(c.in.Len())
-		err := c.err
-		c.mu.Unlock()
-		if err != nil {
-			return
-		}
+	c.mu.Lock()
+	c.in.Discard(c.in.Len())
+	c.mu.Unlock()
+	_ = c.c.SetReadDeadline(time.Unix(1, 0)) // from here on fill throws away what comes
+	begun := time.Now()
+	tick := time.NewTicker(lingerQuiet / 5)
+	defer tick.Stop()
+	for time.Since(begun) < lingerLimit {
 		select {
 		case <-c.more:
-		case <-timer.C:
+		case <-tick.C:
+		}
+		c.mu.Lock()
+		err, last := c.err, c.at
+		c.mu.Unlock()
+		if err != nil || time.Since(last) > lingerQuiet && time.Since(begun) > lingerQuiet {
 			return
 		}
 	}
--- a/internal/net/http.go
+++ b/internal/net/http.go
@@ -114,9 +114,14 @@
 	return line, h, nil
 }
 
-// parseRequest takes one whole request out of the ring. It returns nil while bytes are lacking; wants tells
-// that the client waits to be told to go on.
-func parseRequest(in *Ring, at time.Time) (req *Request, wants bool, err error) {
+// lacks tells what a request that is not all there waits for.
+type lacks struct {
+	bytes int  // before the ring holds so many it cannot be whole; 0: not known
+	word  bool // the client waits to be told to go on
+}
+
+// parseRequest takes one whole request out of the ring. It returns nil while something is lacking.
+func parseRequest(in *Ring, at time.Time) (req *Request, lack lacks, err error) {
 	for in.Len() >= 2 { // empty lines before a request are to be skipped
 		var two [2]byte
 		if in.Peek(two[:], 0); two != [2]byte{'\r', '\n'} {
@@ -127,37 +132,41 @@
 	end := in.Index(headEnd)
 	if end < 0 {
 		if in.Len() > MaxHead {
-			return nil, false, bad(431, "the head is larger than %d bytes", MaxHead)
+			return nil, lack, bad(431, "the head is larger than %d bytes", MaxHead)
 		}
-		return nil, false, nil
+		return nil, lack, nil
 	}
 	if end > MaxHead {
-		return nil, false, bad(431, "the head is larger than %d bytes", MaxHead)
+		return nil, lack, bad(431, "the head is larger than %d bytes", MaxHead)
 	}
 	line, h, err := parseHead(in, end+4)
 	if err != nil {
-		return nil, false, err
+		return nil, lack, err
 	}
 	method, rest, ok1 := strings.Cut(line, " ")
 	target, proto, ok2 := strings.Cut(rest, " ")
 	if !ok1 || !ok2 || method == "" || target == "" || strings.ContainsAny(method, "\t\"(),/:;<=>?@[]{}") {
-		return nil, false, bad(400, "malformed request line")
+		return nil, lack, bad(400, "malformed request line")
 	}
 	if proto != "HTTP/1.1" && proto != "HTTP/1.0" {
 		if strings.HasPrefix(proto, "HTTP/") {
-			return nil, false, bad(505, "only HTTP/1.1 is spoken here")
+			return nil, lack, bad(505, "only HTTP/1.1 is spoken here")
 		}
-		return nil, false, bad(400, "malformed request line")
+		return nil, lack, bad(400, "malformed request line")
 	}
 	if proto == "HTTP/1.1" && len(h["Host"]) != 1 {
-		return nil, false, bad(400, "one Host header is needed")
+		return nil, lack, bad(400, "one Host header is needed")
 	}
 	body, taken, err := parseBody(in, end+4, h, MaxBody)
 	if err != nil {
-		return nil, false, err
+		return nil, lack, err
 	}
 	if taken < 0 {
-		return nil, strings.EqualFold(h.Get("Expect"), "100-continue"), nil
+		if strings.EqualFold(h.Get("Expect"), "100-continue") {
+			lack.word = true
+		}
+		lack.bytes = -taken
+		return nil, lack, nil
 	}
 	in.Discard(taken)
 	if i := strings.Index(target, "://"); i > 0 && !strings.HasPrefix(target, "/") { // absolute form
@@ -169,7 +178,7 @@
 	}
 	path, query, _ := strings.Cut(target, "?")
 	return &Request{Method: method, Path: path, Query: query, Header: h, Body: body, At: at,
-		Close: closes(h) || proto == "HTTP/1.0"}, false, nil
+		Close: closes(h) || proto == "HTTP/1.0"}, lack, nil
 }
 
 // closes tells that the sender ends the connection after this message.
@@ -184,8 +193,8 @@
 	return false
 }
 
-// parseBody copies the body that begins at place from. taken is where the message ends, or -1 while bytes
-// are lacking.
+// parseBody copies the body that begins at place from. taken is where the message ends or, while bytes are
+// lacking, below 0: before there are that many it cannot be whole.
 func parseBody(in *Ring, from int, h textproto.MIMEHeader, most int) (b []byte, taken int, err error) {
 	codings, lengths := h["Transfer-Encoding"], h["Content-Length"]
 	switch {
@@ -210,7 +219,7 @@
 			return nil, 0, bad(413, "the body is larger than %d bytes", most)
 		}
 		if in.Len() < from+int(n) {
-			return nil, -1, nil
+			return nil, -from - int(n), nil
 		}
 		b = make([]byte, n)
 		in.Peek(b, from)
@@ -231,7 +240,7 @@
 			if len(rest) > 1024 {
 				return nil, 0, bad(400, "malformed chunk")
 			}
-			return nil, -1, nil
+			return nil, -from - size - 1, nil
 		}
 		digits, _, _ := strings.Cut(string(rest[:i]), ";")
 		n, err := strconv.ParseUint(strings.TrimSpace(digits), 16, 31)
@@ -249,7 +258,7 @@
 					if len(rest) > MaxHead {
 						return nil, 0, bad(431, "the trailers are too large")
 					}
-					return nil, -1, nil
+					return nil, -from - size - 1, nil
 				}
 				rest = rest[j+2:]
 				if j == 0 {
@@ -258,7 +267,7 @@
 			}
 		}
 		if len(rest) < int(n)+2 {
-			return nil, -1, nil
+			return nil, -from - size - (int(n) + 2 - len(rest)), nil
 		}
 		if rest[n] != '\r' || rest[n+1] != '\n' {
 			return nil, 0, bad(400, "malformed chunk")
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -313,6 +313,101 @@
 	}
 }
 
+// Whatever a client sends or does not send, it gets an error or the end well within the time it is owed them.
+func TestBadClientsAreNotWaitedFor(t *testing.T) {
+	e := serve(t, NewBudget(10, 0))
+	for in, want := range map[string]string{
+		"":                               "",
+		"POST / HT":                      "HTTP/1.1 408 ",
+		"POST / HTTP/1.1\r\nHost: x\r\n": "HTTP/1.1 408 ",
+		"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nhalf": "HTTP/1.1 408 ",
+	} {
+		t.Run(in, func(t *testing.T) {
+			t.Parallel()
+			c, err := net.Dial("tcp", e.Addr())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			_, _ = io.WriteString(c, in)
+			_ = c.SetReadDeadline(time.Now().Add(7 * time.Second)) // twice what is owed, for slow machines
+			got, err := io.ReadAll(c)
+			if err != nil || !strings.HasPrefix(string(got), want) || want == "" && len(got) > 0 {
+				t.Errorf("%q %v", got, err)
+			}
+		})
+	}
+}
+
+// A client that is still sending after the error is written gets to read it, for a second and more.
+func TestErrorIsReadByOneThatStillSends(t *testing.T) {
+	e := serve(t, NewBudget(10, 0))
+	c, err := net.Dial("tcp", e.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 60000000\r\n\r\n")
+	for i := range 15 {
+		if _, err := c.Write(make([]byte, 500_000)); err != nil {
+			t.Fatalf("piece %d: %v", i, err)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	if got, err := io.ReadAll(c); err != nil || !strings.HasPrefix(string(got), "HTTP/1.1 413 ") {
+		t.Fatalf("%q %v", got, err)
+	}
+}
+
+// A crowd that connects and says nothing, or half a request, makes way for others and for itself before a
+// connection does that has been of use.
+func TestCrowdMakesWayFirst(t *testing.T) {
+	e := serve(t, NewBudget(6, 0))
+	usual := dial(t, e.Server)
+	if r, err := usual.post("x"); err != nil || r.Status != 200 {
+		t.Fatal(r, err)
+	}
+	for i := range 20 {
+		c := dial(t, e.Server)
+		if i%2 == 0 {
+			_, _ = c.c.Write([]byte("POST /"))
+		}
+		if i >= 4 {
+			until(t, "a place", func() bool { return e.Open() <= 6 })
+		}
+		if i%5 == 4 {
+			time.Sleep(graceLimit + graceLimit/2)
+		}
+	}
+	if r, err := usual.post("x"); err != nil || r.Status != 200 {
+		t.Fatalf("the crowd pushed a usual client out: %v %v", r, err)
+	}
+	if r, err := dial(t, e.Server).post("x"); err != nil || r.Status != 200 {
+		t.Fatalf("a new client was kept out: %v %v", r, err)
+	}
+}
+
+// Large requests that never come to their end take a bounded part of the memory, and none that small ones
+// need.
+func TestMemoryOfRingsIsBounded(t *testing.T) {
+	b := NewBudget(20, 0)
+	b.LimitRings(64 << 10)
+	e := serve(t, b)
+	for range 8 {
+		c := dial(t, e.Server)
+		_, _ = c.c.Write([]byte("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 60000\r\n\r\n" +
+			strings.Repeat("b", 50000)))
+	}
+	until(t, "the end of the memory", func() bool { return b.rings.left.Load() < 16<<10 })
+	if r, err := dial(t, e.Server).post(strings.Repeat("z", 3000)); err != nil || r.Status != 200 {
+		t.Fatalf("a usual request found no memory: %v %v", r, err)
+	}
+	if left := b.rings.left.Load(); left < 0 {
+		t.Fatalf("%d bytes too many", -left)
+	}
+	until(t, "the memory back", func() bool { return b.rings.left.Load() == 64<<10 })
+}
+
 func TestFinishEndsIdleConnectionsAndNoOthers(t *testing.T) {
 	e := serve(t, NewBudget(10, 0))
 	idle, busy := dial(t, e.Server), dial(t, e.Server)
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"lapislever/balance"
 	"lapislever/internal/core"
@@ -22,6 +23,8 @@
 const (
 	maxName  = 128  // of a query's or a key's characters
 	maxParts = 1024 // of one query
+
+	massSlack = 0.001 // by which masses that were rounded may miss 1
 )
 
 // Front serves clients of the platform.
@@ -49,7 +52,8 @@
 	q, err := f.parse(r)
 	if err != nil {
 		f.log.Warn("bad request", "path", r.Path, "status", err.Status, "why", err.What)
-		x.Reply(lnet.Response{Status: err.Status, Body: []byte(err.What + "\n")})
+		// The end of the connection: what else comes on it is worth as little, and must not cost more.
+		x.Reply(lnet.Response{Status: err.Status, Body: []byte(err.What + "\n"), Close: true})
 		return nil
 	}
 	q.Client = &client{x: x, log: f.log}
@@ -84,6 +88,11 @@
 	if r.Method != "POST" {
 		return fail(405, "use POST")
 	}
+	for _, name := range []string{"X-Call-Id", "X-Budget", "Idempotency-Key"} {
+		if len(r.Header[name]) > 1 {
+			return fail(400, "%s is there more than once", name)
+		}
+	}
 	q := &core.Query{Name: r.Header.Get("X-Call-Id"), Class: class, Via: f.via,
 		Repeat: r.Header.Get("X-Again") == "1", Key: r.Header.Get("Idempotency-Key")}
 	if !isToken(q.Name) {
@@ -107,6 +116,9 @@
 	}
 	q.Deadline = r.At.Add(wait)
 	var body queryBody
+	if !utf8.Valid(r.Body) { // what cannot be read would be replaced, and the parts carry it unchanged
+		return fail(400, "the body is not UTF-8")
+	}
 	if err := json.Unmarshal(r.Body, &body); err != nil {
 		return fail(400, "the body is not as it should be: %v", err)
 	}
@@ -120,13 +132,10 @@
 			return fail(400, "slices: a slice is missing, unknown or named twice")
 		}
 		seen[*s.Slice] = true
-		p := core.PartSpec{Shard: *s.Slice, Weight: 1}
-		if s.Mass != nil {
-			p.Weight = *s.Mass
-		}
-		if !(p.Weight >= 0) || p.Weight > 1e6 {
-			return fail(400, "slices: a mass is not possible")
+		if s.Mass == nil || !(*s.Mass > 0 && *s.Mass <= 1+massSlack) {
+			return fail(400, "slices: a mass is missing or not possible")
 		}
+		p := core.PartSpec{Shard: *s.Slice, Weight: *s.Mass}
 		total += p.Weight
 		if s.Micros > 0 && s.Micros < 1e12 {
 			p.Hint = balance.Micros(s.Micros)
@@ -140,8 +149,8 @@
 		}
 		q.Parts = append(q.Parts, p)
 	}
-	if total <= 0 {
-		return fail(400, "slices: they have no mass")
+	if math.Abs(total-1) > massSlack {
+		return fail(400, "slices: the masses add up to %g, not to 1", total)
 	}
 	return q, nil
 }
@@ -201,7 +210,7 @@
 		case f.NameTaken:
 			status = 409
 		}
-		c.x.Reply(lnet.Response{Status: status, Body: []byte("failed\n")})
+		c.x.Reply(lnet.Response{Status: status, Body: []byte("failed\n"), Close: f.NameTaken})
 	}
 }
 
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -448,15 +448,53 @@
 		"unknown slice":    {"POST", "/rate-check", `{"slices":[{"slice":2}]}`, [][2]string{id}, 400},
 		"slice twice":      {"POST", "/rate-check", `{"slices":[{"slice":0},{"slice":0}]}`, [][2]string{id}, 400},
 		"no mass":          {"POST", "/rate-check", `{"slices":[{"slice":0,"mass":0}]}`, [][2]string{id}, 400},
-		"bad term":         {"POST", "/rate-check", `{"slices":[{"slice":0,"term":"x"}]}`, [][2]string{id}, 400},
-		"up by post":       {"POST", "/up", "", nil, 405},
-		"no time left":     {"POST", "/rate-check", good, [][2]string{id, {"X-Budget", "0"}}, 503},
-		"good":             {"POST", "/exchange-post", good, [][2]string{id, key, {"X-Budget", "2.5"}}, 200},
+		"mass is missing":  {"POST", "/rate-check", `{"slices":[{"slice":0}]}`, [][2]string{id}, 400},
+		"mass below 0": {"POST", "/rate-check", `{"slices":[{"slice":0,"mass":-0.5},{"slice":1,"mass":1.5}]}`,
+			[][2]string{id}, 400},
+		"too little mass": {"POST", "/rate-check", `{"slices":[{"slice":0,"mass":0.4},{"slice":1,"mass":0.4}]}`,
+			[][2]string{id}, 400},
+		"too much mass": {"POST", "/rate-check", `{"slices":[{"slice":0,"mass":0.7},{"slice":1,"mass":0.7}]}`,
+			[][2]string{id}, 400},
+		"not UTF-8":       {"POST", "/rate-check", strings.Replace(good, `"f`, "\"\xff", 1), [][2]string{id}, 400},
+		"two ids":         {"POST", "/rate-check", good, [][2]string{id, {"X-Call-Id", "x2"}}, 400},
+		"budget below 0":  {"POST", "/rate-check", good, [][2]string{id, {"X-Budget", "-1"}}, 400},
+		"endless budget":  {"POST", "/rate-check", good, [][2]string{id, {"X-Budget", "Inf"}}, 400},
+		"key with a line": {"POST", "/exchange-post", good, [][2]string{id, {"Idempotency-Key", "a\tb"}}, 400},
+		"bad term":        {"POST", "/rate-check", `{"slices":[{"slice":0,"term":"x"}]}`, [][2]string{id}, 400},
+		"up by post":      {"POST", "/up", "", nil, 405},
+		"no time left":    {"POST", "/rate-check", good, [][2]string{id, {"X-Budget", "0"}}, 503},
+		"good":            {"POST", "/exchange-post", good, [][2]string{id, key, {"X-Budget", "2.5"}}, 200},
 	} {
 		if r := standin.Call(t, k.Addr(), c.method, c.path, c.header, c.body); r.Status != c.want {
 			t.Errorf("%s: %d, want %d", name, r.Status, c.want)
+		} else if c.path != "/up" && c.want/100 == 4 && r.Header.Get("Connection") != "close" {
+			t.Errorf("%s: the connection goes on", name)
 		}
 	}
+	if n := len(a.Parts()); n != 1 {
+		t.Errorf("%d parts reached the data node", n)
+	}
+}
+
+// The id of another client's open request is an error for whoever comes second; the first is unharmed.
+func TestOpenRequestKeepsItsName(t *testing.T) {
+	free := make(chan struct{})
+	a := standin.NewNode(t, func(p standin.Part) (string, string) { <-free; return ok(p) })
+	k := run(t, config(t, newDiscovery(t, hostAt("a", a.Addr, 0))))
+	ask := func() *lnet.Reply {
+		return standin.Call(t, k.Addr(), "POST", "/rate-check", [][2]string{{"X-Call-Id", "same"}},
+			`{"slices":[{"slice":0,"mass":1}],"filter":"f"}`)
+	}
+	first := make(chan *lnet.Reply, 1)
+	go func() { first <- ask() }()
+	standin.Until(t, "the part", func() bool { return len(a.Parts()) > 0 })
+	if r := ask(); r.Status != 409 || r.Header.Get("Connection") != "close" {
+		t.Errorf("the second got %d", r.Status)
+	}
+	close(free)
+	if r := <-first; r.Status != 200 || !strings.Contains(string(r.Body), `"v:same.0"`) {
+		t.Errorf("the first got %d %s", r.Status, r.Body)
+	}
 }
 
 // A part whose answer is spoilt has failed and may have run; the connection ends at once, and the part goes
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -29,6 +29,7 @@
 	maxDatagram = 256
 	ownSockets  = 40 // descriptors for all but clients and nodes
 	nodeShare   = 4  // one in so many descriptors is kept for nodes
+	ringShare   = 8  // one in so many bytes of the memory is for large requests that are being read
 
 	// An ending coordinator goes on serving for as long as new connections may still come, and beyond that for
 	// as long as clients use it and there is time; it answers all that it took well before it may be killed.
@@ -85,6 +86,7 @@
 	k := &Coordinator{cfg: cfg, log: log, extras: extras, stop: make(chan struct{}), discovery: cfg.Discovery}
 	most := max(32, cfg.Limits.Sockets-ownSockets)
 	budget := lnet.NewBudget(most, most/nodeShare)
+	budget.LimitRings(cfg.Limits.MemoryMB << 20 / ringShare)
 	post := func(e core.Event) { k.core.Post(e) }
 	k.nodes = NewNodes(cfg, budget, log, post)
 	backends := []core.Backend{k.nodes}
