Tell little patience from long queues, and copy overdue parts beyond the slot cap

Of 211 refusals by expected wait 90% had under 122 ms left to the aim of 380 ms: clients that wait little. The limit against queues (admit) shrank with that time.

Now the limit against queues is measured on the class's own aim, and a query is hopeless where its expected wait is longer than its time; an overdue part's copy may wait where it would come in time.

Two tests by hand-driven instances; both fail on the old module.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -58,6 +58,7 @@
 	admitPeers             = 3.0        // with so many; with more it shrinks
 	admitLeast             = 0.55       // of the share is left for work of no worth
 	admitTail              = 2.6        // times the share, of the time to the aim, for the last needed part
+	hopeShare              = 1.0        // of the time to the aim that a part may be expected to take
 	admitQuantile          = 0.8        // of the needed parts: of few the slowest, of many not the odd one
 	overPart, farOver      = 1.2, 1.8   // times its part of the quotas that a tenant has of the traffic here
 	quotaLeast             = 8.0        // queries of a tenant that tell of its part
@@ -679,10 +680,14 @@
 	if floor < 1-2*tolerance {
 		tail = min(tail, -math.Log(1-floor))
 	}
+	// Two limits: queues are kept short against the classes' own aims, and a client that waits less than that
+	// is turned away only where it would hardly be served in its time.
 	left := float64(q.aim - b.now)
-	limit := min(share*min(b.minAim, left), admitTail*share*left/(1+tail))
+	own := max(left, min(b.minAim, float64(b.s.Classes[q.class].Aim)))
+	limit := min(share*min(b.minAim, own), admitTail*share*own/(1+tail))
 	last := waits[min(len(waits)-1, int(floor*float64(len(waits))))] // it may be at a hot shard
-	return max(wait, last*limit/(hotShare*share*left)) <= limit*(admitLeast+(1-admitLeast)*b.value(q))
+	return wait <= hopeShare*left &&
+		max(wait, last*limit/(hotShare*share*own)) <= limit*(admitLeast+(1-admitLeast)*b.value(q))
 }
 
 // value is the worth of a query for its work, as a share of the best class's.
@@ -970,8 +975,8 @@
 		}
 		return b.free[len(b.free)-1]
 	}
-	if copied {
-		return nil // a copy never waits behind others: it would only add load
+	if copied && !(p.tries[len(p.tries)-1].overdue && soonest <= float64(p.q.aim-b.now)) {
+		return nil // a copy waits behind others only for a part that is else lost: it would just add load
 	}
 	if least != nil {
 		return least
--- a/balance/guards_test.go
+++ b/balance/guards_test.go
@@ -243,3 +243,37 @@
 		t.Errorf("weight %.0f after twenty spoilt answers in a row", r.weight)
 	}
 }
+
+// A client that waits less than its class's aim says nothing of the queues: it is turned away only where it
+// would hardly be served in its time (churn day: 8% refused in 15 s, of those let in 60 to 75% were served).
+func TestLittlePatienceIsNoOverload(t *testing.T) {
+	for share, sent := range map[float64]int{0.8: 0, 1.2: 1} {
+		k := start(t, settings(), ready(1)...)
+		for range 20 {
+			k.b.saw(k.b.byID[1], 0, float64(100*ms))
+		}
+		left := Micros(share * k.b.expect(k.b.byID[1], 0))
+		k.step(Event{Kind: Query, ID: 1, Number: 1, Weight: 1, Deadline: k.now + left},
+			Event{Kind: Part, ID: 2, Number: 1, Weight: 1, Deadline: k.now + left})
+		if got := len(of(Send, k.out)); got != sent {
+			t.Errorf("%.1f of the time that a part takes left: %d sent, want %d", share, got, sent)
+		}
+	}
+}
+
+// An overdue part at a replica that answers nothing is copied to the other one even where that has no free
+// slot, if it would come in time; a part that is only slow is not (churn day, 51 to 52 s: a node stood still,
+// its parts ran into the aim with a single attempt each).
+func TestOverduePartIsCopiedBeyondTheSlots(t *testing.T) {
+	k := start(t, settings(), ready(2)...)
+	k.query(0, 1)
+	first := one(t, Send, k.out)
+	other := k.b.byID[3-first.Replica]
+	other.calls = maxCap
+	if got := of(Send, k.wait(550*ms)); len(got) != 0 {
+		t.Fatalf("a slow part was copied to a full replica: %+v", got)
+	}
+	if got := of(Send, k.wait(100*ms)); len(got) != 1 || got[0].Replica != other.ID {
+		t.Fatalf("sends of the overdue part: %+v", got)
+	}
+}
