Leave connections that fell silent, and tell what is out on them at once

Cause: internal/platform/nodes.go conn took a connection for free once its parts were given up, so one that swallowed everything got the next parts, each up to its time-out, and the module blamed the node for it.

Now a connection that has owed an answer for longer than the node's answers take (mean and four times their stray, as TCP does) gets nothing new; another is opened beside it, four at most, as the node may be what is silent. Once the node has answered there what was written later, and the silent one stays so for as long again, it ends and its parts are told (Spoilt: may have run, no fault of the node). A frame that began has an eighth of the shortest aim.

Test: a node whose first connection swallows parts. The old code sends it every next one.

--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -27,8 +27,15 @@
 	maxFrame   = lnet.MaxBody + maxLine // a value and its line
 	outLimit   = 256 << 10              // bytes queued for one connection
 	writeLimit = 300 * time.Millisecond
-	frameLimit = 500 * time.Millisecond // a frame of a node that began comes to its end within this
-	givenMost  = 256                    // answers to what was given up that a connection still waits for
+	// A frame of a node that began comes to its end within this share of the shortest aim.
+	frameShare = 8
+	frameLeast = 50 * time.Millisecond
+	// A connection is silent when it has owed an answer for longer than the node's answers take, all but the
+	// very latest. It gets nothing new as long as another may be opened beside it.
+	silentLeast = 30 * time.Millisecond
+	silentMost  = time.Second
+	silentConns = 3   // at one node; with more the node is silent, and no connection is to blame
+	givenMost   = 256 // answers to what was given up that a connection still waits for
 	// idleShare of the nodes' idle limit is when we retire a connection: a request written to one that its
 	// node is about to close ends as a reset.
 	idleShare = 0.7
@@ -51,10 +58,38 @@
 	born  float64
 	gone  bool // from the list: forgotten with its last connection
 	conns []*nodeConn
+	took  latency
 }
 
-// errSpoilt marks the end of a connection on which something came that cannot be used. What is out on it may
-// have run; of the node it says nothing.
+// latency follows how long a node's answers take, as TCP does its round trips.
+type latency struct {
+	mu          sync.Mutex
+	mean, stray time.Duration
+}
+
+func (l *latency) add(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.mean == 0 {
+		l.mean, l.stray = d, d/2
+		return
+	}
+	l.stray += ((d - l.mean).Abs() - l.stray) / 4
+	l.mean += (d - l.mean) / 8
+}
+
+// most is what all but the very latest answers take.
+func (l *latency) most() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.mean == 0 {
+		return silentMost
+	}
+	return min(max(l.mean+4*l.stray, silentLeast), silentMost)
+}
+
+// errSpoilt marks the end of a connection on which something came that cannot be used, or nothing any more
+// while the node answers on others. What is out on it may have run; of the node it says nothing.
 var errSpoilt = errors.New("spoilt")
 
 func spoilt(format string, args ...any) error {
@@ -70,6 +105,9 @@
 	frames  []frame
 	waiting map[string]*core.Attempt
 	given   map[string]time.Time // written and then given up: an answer may come all the same
+	written map[string]time.Time // when the parts that wait were written
+	owed    time.Time            // since when it owes an answer and nothing has come; zero: it owes none
+	doubt   time.Time            // when another connection first outlived it
 	probes  []*probe             // probes out, in their order
 	calls   int                  // calls with a part that waits
 	up      bool
@@ -188,24 +226,38 @@
 	if x == nil || x.addr == "" {
 		return nil
 	}
-	var best *nodeConn
-	room := 0
+	var best, mute *nodeConn
+	room, muteRoom, silent := 0, 0, 0
+	limit := x.took.most()
 	for _, c := range x.conns {
 		c.mu.Lock()
 		free := n.cfg.Streams - c.calls
-		if !c.dead && !c.retired && (best == nil || free > room) {
+		switch {
+		case c.dead || c.retired:
+		case !c.owed.IsZero() && time.Since(c.owed) > limit:
+			if silent++; mute == nil || free > muteRoom {
+				mute, muteRoom = c, free
+			}
+		case best == nil || free > room:
 			best, room = c, free
 		}
 		c.mu.Unlock()
 	}
+	if mute != nil && best == nil && (silent > silentConns || !open) {
+		best, room = mute, muteRoom
+	}
 	if best != nil && room > 0 || !open {
 		return best
 	}
+	if best == nil {
+		best = mute
+	}
 	if !n.budget.TakeServer() {
 		return best // no descriptor is left: it waits behind others
 	}
 	c := &nodeConn{n: n, node: x, out: lnet.NewRing(outLimit), waiting: map[string]*core.Attempt{},
-		given: map[string]time.Time{}, wake: make(chan struct{}, 1), used: time.Now(), opened: time.Now()}
+		given: map[string]time.Time{}, written: map[string]time.Time{}, wake: make(chan struct{}, 1),
+		used: time.Now(), opened: time.Now()}
 	x.conns = append(x.conns, c)
 	go c.write(x.addr)
 	return c
@@ -231,6 +283,10 @@
 	}
 	c.mu.Lock()
 	delete(c.waiting, id)
+	delete(c.written, id)
+	if !c.owed.IsZero() && time.Since(c.owed) <= c.node.took.most() {
+		c.owe() // given up for a reason of its own; it may never be answered
+	}
 	unsent := c.unqueue(a)
 	if !unsent && !c.dead {
 		c.giveUp(id)
@@ -463,9 +519,17 @@
 		_, err := conn.Write(buf)
 		c.mu.Lock()
 		if err == nil && !c.dead { // the frame's last byte is out: from here on its parts may have run
+			c.used = time.Now()
+			for _, a := range c.frames[0].call {
+				if id := wireID(a); c.waiting[id] == a {
+					c.written[id] = c.used
+				}
+				if c.owed.IsZero() {
+					c.owed = c.used
+				}
+			}
 			c.out.Discard(c.frames[0].size)
 			c.frames = c.frames[1:]
-			c.used = time.Now()
 		}
 		c.mu.Unlock()
 		if err != nil {
@@ -502,7 +566,7 @@
 			unsent[a] = true
 		}
 	}
-	c.waiting, c.given, c.frames, c.probes = nil, nil, nil, nil
+	c.waiting, c.given, c.written, c.frames, c.probes = nil, nil, nil, nil, nil
 	c.mu.Unlock()
 	c.poke()
 	if conn != nil {
@@ -552,6 +616,9 @@
 	for {
 		n, err := conn.Read(in.Free())
 		in.Grew(n)
+		if n > 0 {
+			c.heard()
+		}
 		taken := in.Len()
 		for {
 			b, bad := nextFrame(in)
@@ -577,7 +644,7 @@
 			err = spoilt("%d bytes of noise", in.Len())
 			c.n.log.Warn("bad frame from a node", "node", c.node.name, "err", err)
 		case in.Len() > 0 && (!begun || taken > 0):
-			_ = conn.SetReadDeadline(time.Now().Add(frameLimit))
+			_ = conn.SetReadDeadline(time.Now().Add(c.n.frameLimit()))
 		case in.Len() == 0 && begun:
 			_ = conn.SetReadDeadline(time.Time{})
 		}
@@ -589,6 +656,68 @@
 	}
 }
 
+// frameLimit is how long a frame may take once it has begun.
+func (n *Nodes) frameLimit() time.Duration {
+	aim := balance.Micros(0)
+	for _, c := range n.cfg.Module.Classes {
+		if aim == 0 || c.Aim < aim {
+			aim = c.Aim
+		}
+	}
+	return max(frameLeast, time.Duration(aim)*time.Microsecond/frameShare)
+}
+
+// heard notes that something came on the connection.
+func (c *nodeConn) heard() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.owed, c.doubt = time.Time{}, time.Time{}
+	if len(c.written) > 0 {
+		c.owed = time.Now()
+	}
+}
+
+// owe forgets what is not waited for any more: the connection owes an answer since the oldest part that is.
+func (c *nodeConn) owe() {
+	var oldest time.Time
+	for _, at := range c.written {
+		if oldest.IsZero() || at.Before(oldest) {
+			oldest = at
+		}
+	}
+	if oldest.IsZero() || oldest.After(c.owed) {
+		c.owed = oldest
+	}
+}
+
+// outlived is called when a node has answered, on this connection, what was written at the time given. One
+// that has been silent since before, and goes on to be, has fallen silent for good: what is out on it is
+// told now, and not by a time-out each. After a pause of the node it has the time to speak up too.
+func (c *nodeConn) outlived(written time.Time) {
+	var mute []*nodeConn
+	limit := c.node.took.most()
+	c.n.mu.Lock()
+	for _, x := range c.node.conns {
+		if x == c {
+			continue
+		}
+		x.mu.Lock()
+		if !x.owed.IsZero() && x.owed.Before(written) && time.Since(x.owed) > limit {
+			if x.doubt.IsZero() {
+				x.doubt = time.Now()
+			} else if time.Since(x.doubt) > limit {
+				mute = append(mute, x)
+			}
+		}
+		x.mu.Unlock()
+	}
+	c.n.mu.Unlock()
+	for _, x := range mute {
+		c.n.log.Warn("connection to a node fell silent", "node", c.node.name, "after", limit)
+		x.end(spoilt("nothing came any more"))
+	}
+}
+
 // quiet tells that nothing is out on the connection.
 func (c *nodeConn) quiet() bool {
 	c.mu.Lock()
@@ -633,6 +762,7 @@
 		if err != nil {
 			return err
 		}
+		var sent time.Time
 		c.mu.Lock()
 		c.used = time.Now()
 		at := c.waiting[a.id]
@@ -643,7 +773,12 @@
 				c.mu.Unlock()
 				return spoilt("an answer to a part that was not sent")
 			}
+			sent = c.written[a.id]
 			delete(c.waiting, a.id)
+			delete(c.written, a.id)
+			if len(c.written) == 0 {
+				c.owed = time.Time{}
+			}
 			c.calls = c.count()
 		case given: // late: the attempt was given up
 			at = nil
@@ -657,6 +792,12 @@
 		if done {
 			c.poke()
 		}
+		if !sent.IsZero() {
+			if a.outcome != balance.Busy { // which comes at once, whatever waits
+				c.node.took.add(time.Since(sent))
+			}
+			c.outlived(sent)
+		}
 		if at != nil {
 			c.n.post(core.Outcome{Attempt: at, Outcome: a.outcome, Report: c.n.cfg.report(a.report),
 				Value: core.Value{Body: a.value}})
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -262,7 +262,7 @@
 	n := NewNodes(config(t, newDiscovery(t)), lnet.NewBudget(10, 0), standin.Quiet(), func(core.Event) {})
 	id := core.ServerID("a")
 	c := &nodeConn{n: n, node: &node{id: id}, out: lnet.NewRing(outLimit), waiting: map[string]*core.Attempt{},
-		given: map[string]time.Time{}, wake: make(chan struct{}, 1)}
+		given: map[string]time.Time{}, written: map[string]time.Time{}, wake: make(chan struct{}, 1)}
 	n.nodes[id] = c.node
 	c.node.conns = []*nodeConn{c}
 	var all []*core.Attempt
@@ -535,6 +535,43 @@
 	}
 }
 
+// A connection that falls silent, as one whose path has lost it, gets nothing new, and what is out on it is
+// told as soon as the node has shown on another that it answers: not by a time-out for each part.
+func TestSilentConnectionIsLeft(t *testing.T) {
+	var answered atomic.Int32
+	n := standin.NewNode(t, func(p standin.Part) (string, string) {
+		if p.Conn == 1 && answered.Add(1) > 8 {
+			return "", ""
+		}
+		return ok(p)
+	})
+	k := run(t, config(t, newDiscovery(t, hostAt("a", n.Addr, 0))))
+	for range 8 {
+		post(t, k, "rate-check", 0)
+	}
+	held := make(chan int, 1)
+	go func() { held <- post(t, k, "rate-check", 0).Status }()
+	standin.Until(t, "the part that is swallowed", func() bool { return len(n.Parts()) == 9 })
+	for waits, begun := true, time.Now(); waits; time.Sleep(silentLeast) {
+		select {
+		case got := <-held:
+			if waits = false; got != 200 {
+				t.Errorf("what was out on the silent connection got %d", got)
+			}
+		default:
+			if time.Since(begun) < silentMost { // it may take the connection for a slow one until then
+				continue
+			}
+			if r := post(t, k, "rate-check", 0); r.Status != 200 {
+				t.Fatalf("%d: the silent connection is still used", r.Status)
+			}
+		}
+	}
+	if swallowed := answered.Load() - 8; swallowed > 1 {
+		t.Errorf("%d parts went on the silent connection", swallowed)
+	}
+}
+
 // Whatever comes behind a good answer takes nothing from it, and nothing new goes on that connection; a load
 // report that cannot be read spoils neither.
 func TestMoreThanAGoodAnswer(t *testing.T) {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -105,8 +105,11 @@
 	}
 }
 
-// Part is one part as a data node got it.
-type Part struct{ ID, List, Text string }
+// Part is one part as a data node got it, on its first connection, its second and so on.
+type Part struct {
+	ID, List, Text string
+	Conn           int
+}
 
 // Node is a stand-in data node. It hands every frame but the parts' to nobody; each part goes to the
 // function, which returns the end letter and the value, or no letter to withhold the answer, or the letter
@@ -141,8 +144,9 @@
 			n.mu.Lock()
 			n.conns = append(n.conns, c)
 			n.opened++
+			number := n.opened
 			n.mu.Unlock()
-			go n.serve(c, f)
+			go n.serve(c, number, f)
 		}
 	}()
 	t.Cleanup(func() { n.Close() })
@@ -193,7 +197,7 @@
 	_, _ = w.Write(append(b, rest...))
 }
 
-func (n *Node) serve(c net.Conn, f func(p Part) (end, value string)) {
+func (n *Node) serve(c net.Conn, number int, f func(p Part) (end, value string)) {
 	for {
 		var head [4]byte
 		if _, err := io.ReadFull(c, head[:]); err != nil {
@@ -207,7 +211,7 @@
 		case '1':
 			for rest != "" {
 				line, more, _ := strings.Cut(rest, "\n")
-				var p Part
+				p := Part{Conn: number}
 				var shard, size int
 				if _, err := fmt.Sscanf(line, "%s %d %s %d", &p.ID, &shard, &p.List, &size); err != nil {
 					Frame(c, "Xbad line")
