Open the operators' door with health and true figures

Each reply is counted where it is worded (internal/platform/front.go, client.reply), refusals by a full queue or a full budget included; tries in nodeConn.write once the frame's last byte is out.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -902,6 +902,17 @@
 	}
 }
 
+// Avoided counts the replicas that could get work and are avoided at present: what report tells of, but at once.
+func (b *Balancer) Avoided() int {
+	n, usual := 0, b.pace()
+	for _, r := range b.replicas {
+		if r.State == Ready && (r.down || b.expect(r, 0) > noteSlow*usual) {
+			n++
+		}
+	}
+	return n
+}
+
 // admits tells whether a cold replica may have one more part: no more than the share told for its start of
 // what a like warm one has served this instance, until the ramp ends, as the climb in between is not told.
 // Each instance keeps that by itself, so all together they keep it too.
--- a/cmd/lapislever/main.go
+++ b/cmd/lapislever/main.go
@@ -125,7 +125,7 @@
 			case s == syscall.SIGHUP: // while ending too: what is still open wants to hear of its nodes
 				// A file that cannot be used must not take down what works.
 				if fresh, _, err := load(ranges, env, log); err != nil {
-					log.Error("configuration not reloaded: the old one stays", "err", err)
+					k.Reject(err)
 				} else {
 					k.Reload(fresh)
 				}
--- /dev/null
+++ b/internal/admin/admin_test.go
@@ -0,0 +1,82 @@
+package admin
+
+import (
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"lapislever/internal/standin"
+)
+
+// state is a coordinator with fixed figures.
+type state struct{ ready bool }
+
+func (s *state) Ready() bool { return s.ready }
+func (s *state) Figures() Figures {
+	return Figures{OK: map[string]int64{"C": 812}, Active: 14}
+}
+
+func open(t *testing.T, s *state) string {
+	t.Helper()
+	d, err := Open("127.0.0.1:0", s, standin.Quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	return d.Addr()
+}
+
+func TestCalls(t *testing.T) {
+	s := &state{}
+	addr := open(t, s)
+	for _, c := range []struct {
+		method, path, body string
+		status             int
+		want               string
+	}{
+		{"GET", "/admin/health", "", 503, "not serving"},
+		{"GET", "/admin/stats", "", 200, `{"ok":{"C":812},"shed":null,"errors":null,"tries":0,"active":14,` +
+			`"pool_size":0,"pool_ejected":0,"config_applied":0,"config_rejected":0}`},
+		{"POST", "/admin/stats", "", 405, ""},
+		{"GET", "/admin", "", 404, ""},
+		{"GET", "/up", "", 404, ""},
+	} {
+		r := standin.Call(t, addr, c.method, c.path, nil, c.body)
+		if r.Status != c.status || !strings.HasPrefix(string(r.Body), c.want) {
+			t.Errorf("%s %s: %d %s", c.method, c.path, r.Status, r.Body)
+		}
+		if r.Header.Get("Connection") != "close" {
+			t.Errorf("%s %s: the connection goes on", c.method, c.path)
+		}
+	}
+	s.ready = true
+	if r := standin.Call(t, addr, "GET", "/admin/health", nil, ""); r.Status != 200 {
+		t.Fatalf("%d", r.Status)
+	}
+}
+
+// Callers that say nothing or half a call stay for seconds. However many they are, the next one is answered.
+func TestSilentCallersKeepNobodyOut(t *testing.T) {
+	addr := open(t, &state{ready: true})
+	for i := range 3 * callers {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if i%2 == 0 {
+			_, _ = c.Write([]byte("GET /admin/stats HT"))
+		}
+	}
+	for range 3 {
+		time.Sleep(400 * time.Millisecond)
+		begun := time.Now()
+		if r := standin.Call(t, addr, "GET", "/admin/health", nil, ""); r.Status != 200 {
+			t.Fatalf("%d %s", r.Status, r.Body)
+		}
+		if took := time.Since(begun); took > 5*time.Second {
+			t.Fatalf("answered after %v", took)
+		}
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -9,7 +9,10 @@
 	"container/heap"
 	"hash/fnv"
 	"log/slog"
+	"maps"
 	"math"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"lapislever/balance"
@@ -21,6 +24,7 @@
 	maxBatch    = 1024                   // events of one Step
 	guardSlack  = 10 * time.Millisecond  // past its time a query is ended without the module
 	fullAdvice  = 250 * time.Millisecond // when to come back after the queue or the table was full
+	countSpan   = 100 * time.Millisecond // between looks at what the module avoids
 	numberLimit = 1 << 24                // a query's number must be exact as a float32
 )
 
@@ -95,6 +99,52 @@
 	over  bool
 }
 
+// Counts are the figures of this process since its start. Each is written where the thing happens and may be
+// read at any time from any goroutine.
+type Counts struct {
+	Tries    atomic.Int64 // attempts whose last byte was written to a server
+	Active   atomic.Int64 // queries taken and not yet ended
+	Listed   atomic.Int64 // servers in the list
+	Avoided  atomic.Int64 // of those, the ones that get nothing: put out by hand, or avoided by the module
+	Applied  atomic.Int64 // configurations taken in while running
+	Rejected atomic.Int64 // and turned down
+
+	mu      sync.Mutex // guards the map; the counts in it are atomics
+	classes map[string]*ClassCount
+}
+
+// ClassCount counts the replies to a class's queries. Whoever words the reply counts it, as only there it is
+// known what the client is told.
+type ClassCount struct{ ends [Failed + 1]atomic.Int64 }
+
+// Add counts one reply.
+func (c *ClassCount) Add(e Ending) { c.ends[e].Add(1) }
+
+// Of is how many ended in a way.
+func (c *ClassCount) Of(e Ending) int64 { return c.ends[e].Load() }
+
+// Class is the count of a class by its name, the same for as long as the process runs.
+func (c *Counts) Class(name string) *ClassCount {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.classes == nil {
+		c.classes = map[string]*ClassCount{}
+	}
+	x := c.classes[name]
+	if x == nil {
+		x = &ClassCount{}
+		c.classes[name] = x
+	}
+	return x
+}
+
+// Classes are the counts of all classes that were ever named.
+func (c *Counts) Classes() map[string]*ClassCount {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.classes)
+}
+
 // ServerID is the module's name for a server: the same at every coordinator, as peers name servers by it.
 func ServerID(name string) balance.ReplicaID {
 	h := fnv.New64a()
@@ -195,6 +245,7 @@
 	Peers    Peers
 	Lister   Lister
 	Log      *slog.Logger
+	Counts   *Counts // where this core's figures go; nil: nowhere
 	// Listed is called after the first Step that knew a server.
 	Listed func()
 }
@@ -225,7 +276,9 @@
 	held     int // queries and parts
 	until    balance.Micros
 	sawList  bool
-	idle     chan struct{} // closed once nothing is open while stopping
+	listed   map[balance.ReplicaID]balance.State
+	countAt  balance.Micros // when the list's figures are next due
+	idle     chan struct{}  // closed once nothing is open while stopping
 	idleDone bool
 }
 
@@ -235,12 +288,15 @@
 	if err != nil {
 		return nil, err
 	}
+	if cfg.Counts == nil {
+		cfg.Counts = &Counts{}
+	}
 	now := time.Now()
 	return &Core{
 		cfg: cfg, module: m, queue: make(chan Event, queueSize), done: make(chan struct{}),
 		quit: make(chan struct{}), idle: make(chan struct{}),
 		epoch: now, base: now.UnixMicro(), queries: map[uint32]*Query{}, parts: map[uint32]*part{},
-		names: map[string]*Query{}, numbers: map[float32]bool{},
+		names: map[string]*Query{}, numbers: map[float32]bool{}, listed: map[balance.ReplicaID]balance.State{},
 	}, nil
 }
 
@@ -260,14 +316,19 @@
 
 // Submit queues a query. It returns false where the queue is full; the query was then not taken.
 func (c *Core) Submit(q *Query) bool {
+	c.cfg.Counts.Active.Add(1)
 	select {
 	case c.queue <- q:
 		return true
 	default:
+		c.cfg.Counts.Active.Add(-1)
 		return false
 	}
 }
 
+// Counts are this process's figures.
+func (c *Core) Counts() *Counts { return c.cfg.Counts }
+
 // FullAdvice is when to come back where there was no room.
 func (c *Core) FullAdvice() time.Duration { return fullAdvice }
 
@@ -376,8 +437,10 @@
 		if e.Query.open {
 			c.events = append(c.events, balance.Event{Kind: balance.ClientGone, ID: e.Query.id})
 			c.end(e.Query)
+			c.cfg.Counts.Active.Add(-1)
 		}
 	case Listed:
+		c.learn(e)
 		for i := range e.Replicas { // told to stop: what is queued for it must not go out any more
 			if r := &e.Replicas[i]; r.State != balance.Ready {
 				c.stopSends(r.ID)
@@ -399,6 +462,31 @@
 	}
 }
 
+// learn remembers what is listed.
+func (c *Core) learn(e Listed) {
+	if e.Mode == balance.Full || e.Mode == balance.Cached {
+		clear(c.listed)
+	}
+	for i := range e.Replicas {
+		if r := &e.Replicas[i]; r.State == balance.Gone {
+			delete(c.listed, r.ID)
+		} else {
+			c.listed[r.ID] = r.State
+		}
+	}
+	c.countAt = 0
+}
+
+// countList writes the list's figures, now and then and after each change.
+func (c *Core) countList() {
+	if c.now < c.countAt {
+		return
+	}
+	c.countAt = c.now + countSpan.Microseconds()
+	c.cfg.Counts.Listed.Store(int64(len(c.listed)))
+	c.cfg.Counts.Avoided.Store(int64(c.module.Avoided()))
+}
+
 func (c *Core) stopSends(to balance.ReplicaID) {
 	for _, b := range c.cfg.Backends {
 		for _, a := range b.Stop(to) {
@@ -410,11 +498,11 @@
 // begin takes a query and gives the module what it needs to know of it.
 func (c *Core) begin(q *Query) {
 	if c.names[q.Name] != nil { // its parts could not be told from those of the other one
-		q.Client.Final(Final{Ending: Failed, NameTaken: true})
+		c.reply(q, Final{Ending: Failed, NameTaken: true})
 		return
 	}
 	if most := c.cfg.Settings.MaxOpen; most > 0 && c.held+1+len(q.Parts) > most {
-		q.Client.Final(Final{Ending: Refused, RetryAfter: fullAdvice})
+		c.reply(q, Final{Ending: Refused, RetryAfter: fullAdvice})
 		return
 	}
 	q.open, q.deadline = true, c.clock(q.Deadline)
@@ -511,6 +599,7 @@
 	clear(events)
 	c.events = events[:0]
 	c.carryOut()
+	c.countList()
 	if c.sawList && c.cfg.Listed != nil {
 		c.cfg.Listed()
 		c.cfg.Listed = nil
@@ -667,6 +756,12 @@
 		return
 	}
 	c.end(q)
+	c.reply(q, f)
+}
+
+// reply hands out the final answer of a query that is not open, or not any more.
+func (c *Core) reply(q *Query, f Final) {
+	c.cfg.Counts.Active.Add(-1)
 	q.Client.Final(f)
 }
 
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -30,6 +30,7 @@
 	drainSize  = 16 << 10         // read at once of what is thrown away
 	idleLimit  = 10 * time.Second // a client connection between requests
 	spareLimit = time.Second      // and of one beyond the budget, until it is refused
+	spareMost  = 16               // connections of that kind
 	// A client is owed an answer or the end within 3 s of connecting, also for half a request or none.
 	requestLimit = 2500 * time.Millisecond
 	replyLimit   = 5 * time.Second
@@ -266,9 +267,12 @@
 	mu      sync.Mutex
 	conns   map[*serverConn]struct{}
 	closing atomic.Bool
-	last    atomic.Int64 // when a request last came, in Unix nanoseconds
-	spare   atomic.Int64 // connections beyond the budget that are just being refused
-	wg      sync.WaitGroup
+	// TurnedAway, if set, hears of each request that is refused because too many connections are open.
+	TurnedAway func(r *Request)
+	last       atomic.Int64 // when a request last came, in Unix nanoseconds
+	spare      atomic.Int64 // connections beyond the budget that are just being refused
+	spares     int64        // and how many there may be
+	wg         sync.WaitGroup
 }
 
 // Listen starts to listen on an address and on nothing else.
@@ -277,7 +281,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Server{l: l, handle: h, budget: budget, log: log, conns: map[*serverConn]struct{}{}}, nil
+	return &Server{l: l, handle: h, budget: budget, log: log, conns: map[*serverConn]struct{}{},
+		spares: max(2, min(spareMost, budget.most.Load()/4))}, nil
 }
 
 // Addr is the address listened on.
@@ -299,7 +304,7 @@
 		if !held && s.evict() {
 			held = s.budget.takeClient()
 		}
-		if !held && s.spare.Add(1) > 16 {
+		if !held && s.spare.Add(1) > s.spares {
 			s.spare.Add(-1)
 			s.log.Warn("connection closed: too many are open", "client", c.RemoteAddr())
 			_ = c.Close()
@@ -675,6 +680,9 @@
 func (c *serverConn) exchange(req *Request) (Response, bool) {
 	x := &Exchange{reply: make(chan Response, 1)}
 	if !c.held {
+		if c.s.TurnedAway != nil {
+			c.s.TurnedAway(req)
+		}
 		return Response{Status: 503, Header: [][2]string{{"Retry-After", "1"}},
 			Body: []byte("too many connections\n")}, true
 	}
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -27,6 +27,7 @@
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
+	Operator  string `json:"operator"` // where operators call; empty: nowhere
 	Seed      string `json:"seed"`
 	Limits    struct {
 		Cores    float64 `json:"cores"`
@@ -77,7 +78,8 @@
 	for _, v := range []struct {
 		field *string
 		name  string
-	}{{&c.Name, "RELAY_NAME"}, {&c.Listen, "RELAY_LISTEN"}, {&c.Discovery, "RELAY_DISCOVERY"}} {
+	}{{&c.Name, "RELAY_NAME"}, {&c.Listen, "RELAY_LISTEN"}, {&c.Discovery, "RELAY_DISCOVERY"},
+		{&c.Operator, "RELAY_OPERATOR"}} {
 		if *v.field == "" {
 			*v.field = env(v.name)
 		}
@@ -96,6 +98,9 @@
 	if _, _, err := net.SplitHostPort(c.Listen); err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
+	if _, _, err := net.SplitHostPort(c.Operator); c.Operator != "" && err != nil {
+		return nil, fmt.Errorf("operator: %w", err)
+	}
 	if _, _, err := net.SplitHostPort(c.Discovery); err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -32,6 +32,7 @@
 	cfg   *Config
 	log   *slog.Logger
 	core  *core.Core
+	count *core.Counts
 	via   core.Backend
 	ready atomic.Bool
 }
@@ -52,11 +53,14 @@
 	q, err := f.parse(r)
 	if err != nil {
 		f.log.Warn("bad request", "path", r.Path, "status", err.Status, "why", err.What)
+		if class := f.className(r); f.cfg.class(class) >= 0 {
+			f.count.Class(class).Add(ending(err.Status))
+		}
 		// The end of the connection: what else comes on it is worth as little, and must not cost more.
 		x.Reply(lnet.Response{Status: err.Status, Body: []byte(err.What + "\n"), Close: true})
 		return nil
 	}
-	q.Client = &client{x: x, log: f.log}
+	q.Client = &client{x: x, log: f.log, count: f.count.Class(f.cfg.Classes[q.Class])}
 	if !f.core.Submit(q) {
 		q.Client.Final(core.Final{Ending: core.Refused, RetryAfter: f.core.FullAdvice()})
 		return nil
@@ -64,6 +68,30 @@
 	return func() { f.core.Post(core.Gone{Query: q}) }
 }
 
+// TurnAway counts a request that was refused before it came here: too many connections are open.
+func (f *Front) TurnAway(r *lnet.Request) {
+	if class := f.className(r); f.cfg.class(class) >= 0 {
+		f.count.Class(class).Add(core.Refused)
+	}
+}
+
+// className is the class that a request names, known or not.
+func (f *Front) className(r *lnet.Request) string {
+	name, _, _ := strings.Cut(strings.TrimPrefix(r.Path, "/"), "/")
+	return name
+}
+
+// ending is what a reply's status means to a client.
+func ending(status int) core.Ending {
+	switch status {
+	case 200:
+		return core.Answered
+	case 429, 503:
+		return core.Refused
+	}
+	return core.Failed
+}
+
 // queryBody is the body of a request.
 type queryBody struct {
 	Slices []struct {
@@ -80,8 +108,7 @@
 	fail := func(status int, format string, args ...any) (*core.Query, *lnet.BadMessage) {
 		return nil, &lnet.BadMessage{Status: status, What: fmt.Sprintf(format, args...)}
 	}
-	name, _, _ := strings.Cut(strings.TrimPrefix(r.Path, "/"), "/")
-	class := f.cfg.class(name)
+	class := f.cfg.class(f.className(r))
 	if class < 0 {
 		return fail(404, "unknown class")
 	}
@@ -170,8 +197,15 @@
 
 // client writes a query's final answer as a reply.
 type client struct {
-	x   *lnet.Exchange
-	log *slog.Logger
+	x     *lnet.Exchange
+	log   *slog.Logger
+	count *core.ClassCount
+}
+
+// reply words the final answer, and counts what the client is told.
+func (c *client) reply(r lnet.Response) {
+	c.count.Add(ending(r.Status))
+	c.x.Reply(r)
 }
 
 // answerBody is the body of a reply.
@@ -196,12 +230,12 @@
 		b, err := json.Marshal(body)
 		if err != nil || len(b) > lnet.MaxBody {
 			c.log.Warn("an answer is too large", "bytes", len(b), "err", err)
-			c.x.Reply(lnet.Response{Status: 502, Body: []byte("the answer is too large\n")})
+			c.reply(lnet.Response{Status: 502, Body: []byte("the answer is too large\n")})
 			return
 		}
-		c.x.Reply(lnet.Response{Status: 200, Type: "application/json", Body: b})
+		c.reply(lnet.Response{Status: 200, Type: "application/json", Body: b})
 	case core.Refused:
-		c.x.Reply(Refusal(f.RetryAfter))
+		c.reply(Refusal(f.RetryAfter))
 	default:
 		status := 502
 		switch {
@@ -210,7 +244,7 @@
 		case f.NameTaken:
 			status = 409
 		}
-		c.x.Reply(lnet.Response{Status: status, Body: []byte("failed\n"), Close: f.NameTaken})
+		c.reply(lnet.Response{Status: status, Body: []byte("failed\n"), Close: f.NameTaken})
 	}
 }
 
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -47,6 +47,7 @@
 	log    *slog.Logger
 	budget *lnet.Budget
 	post   func(core.Event)
+	count  *core.Counts
 	mu     sync.Mutex // guards nodes and each node's address and connections
 	nodes  map[balance.ReplicaID]*node
 }
@@ -134,8 +135,10 @@
 }
 
 // NewNodes returns the way to the nodes; post is the core's queue.
-func NewNodes(cfg *Config, budget *lnet.Budget, log *slog.Logger, post func(core.Event)) *Nodes {
-	return &Nodes{cfg: cfg, log: log, budget: budget, post: post, nodes: map[balance.ReplicaID]*node{}}
+func NewNodes(cfg *Config, budget *lnet.Budget, log *slog.Logger, count *core.Counts,
+	post func(core.Event)) *Nodes {
+	return &Nodes{cfg: cfg, log: log, budget: budget, post: post, count: count,
+		nodes: map[balance.ReplicaID]*node{}}
 }
 
 // Learn takes in where nodes are; of a whole list, that the others are gone. It must come before the core
@@ -514,9 +517,13 @@
 		}
 		buf = buf[:f.size]
 		c.out.Peek(buf, 0)
+		calls := len(f.call)
 		c.mu.Unlock()
 		_ = conn.SetWriteDeadline(time.Now().Add(writeLimit))
 		_, err := conn.Write(buf)
+		if err == nil {
+			c.n.count.Tries.Add(int64(calls))
+		}
 		c.mu.Lock()
 		if err == nil && !c.dead { // the frame's last byte is out: from here on its parts may have run
 			c.used = time.Now()
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"lapislever/balance"
+	"lapislever/internal/admin"
 	"lapislever/internal/core"
 	lnet "lapislever/internal/net"
 	"lapislever/internal/standin"
@@ -259,7 +260,7 @@
 
 // What waits for a connection that is still coming up is queued: a drain takes it back, and it never ran.
 func TestStopTakesBackWhatIsQueued(t *testing.T) {
-	n := NewNodes(config(t, newDiscovery(t)), lnet.NewBudget(10, 0), standin.Quiet(), func(core.Event) {})
+	n := NewNodes(config(t, newDiscovery(t)), lnet.NewBudget(10, 0), standin.Quiet(), &core.Counts{}, func(core.Event) {})
 	id := core.ServerID("a")
 	c := &nodeConn{n: n, node: &node{id: id}, out: lnet.NewRing(outLimit), waiting: map[string]*core.Attempt{},
 		given: map[string]time.Time{}, written: map[string]time.Time{}, wake: make(chan struct{}, 1)}
@@ -738,3 +739,59 @@
 		t.Fatalf("%+v", got)
 	}
 }
+
+// figures asks the operators' door.
+func figures(t *testing.T, k *Coordinator) admin.Figures {
+	t.Helper()
+	r := standin.Call(t, k.Door(), "GET", "/admin/stats", nil, "")
+	var f admin.Figures
+	if err := json.Unmarshal(r.Body, &f); err != nil || r.Status != 200 {
+		t.Fatalf("%d %s: %v", r.Status, r.Body, err)
+	}
+	return f
+}
+
+// door is a configuration with the operators' door.
+func door(t *testing.T, d *discovery, edit ...string) *Config {
+	c := config(t, d, edit...)
+	c.Operator = "127.0.0.1:0"
+	return c
+}
+
+// Operators compare the figures with what clients and data nodes saw: each reply counts once and in its class,
+// each attempt when it was written, an open request until it ends, also where its client leaves.
+func TestFiguresAreTrue(t *testing.T) {
+	var mute atomic.Bool
+	n := standin.NewNode(t, func(p standin.Part) (string, string) {
+		if mute.Load() {
+			return "", ""
+		}
+		return "S", "v"
+	})
+	k := run(t, door(t, newDiscovery(t, hostAt("a", n.Addr, 0))))
+	post(t, k, "rate-check", 0)
+	post(t, k, "exchange-post", 0)
+	post(t, k, "exchange-post", 1) // no node holds it
+	post(t, k, "exchange-post", 7) // there is no such shard
+	f := figures(t, k)
+	if f.OK["rate-check"] != 1 || f.OK["exchange-post"] != 1 || f.Shed["exchange-post"] != 1 ||
+		f.Errors["exchange-post"] != 1 || f.Errors["rate-check"] != 0 {
+		t.Fatalf("%+v", f)
+	}
+	if f.Tries != int64(len(n.Parts())) || f.PoolSize != 1 || f.PoolEjected != 0 || f.Active != 0 {
+		t.Fatalf("%+v, and %d attempts came", f, len(n.Parts()))
+	}
+	mute.Store(true)
+	c, err := lnet.Dial(k.Addr(), time.Second, 1<<10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body := []byte(`{"slices":[{"slice":0,"mass":1}],"filter":"f"}`)
+	if err := c.Write("POST", "/rate-check", "x", [][2]string{{"X-Call-Id", "left"}}, body,
+		time.Now().Add(time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	standin.Until(t, "an open request", func() bool { return figures(t, k).Active == 1 })
+	c.Close()
+	standin.Until(t, "its end", func() bool { return figures(t, k).Active == 0 })
+}
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"lapislever/balance"
+	"lapislever/internal/admin"
 	"lapislever/internal/core"
 	lnet "lapislever/internal/net"
 )
@@ -27,7 +28,7 @@
 	watchMost   = time.Second
 	maxList     = 4 << 20
 	maxDatagram = 256
-	ownSockets  = 40 // descriptors for all but clients and nodes
+	ownSockets  = 40 // descriptors for all but clients, nodes and operators
 	nodeShare   = 4  // one in so many descriptors is kept for nodes
 	ringShare   = 8  // one in so many bytes of the memory is for large requests that are being read
 
@@ -68,6 +69,8 @@
 	nodes  *Nodes
 	peers  *peers
 	extras []Extra
+	counts *core.Counts
+	door   *admin.Door
 	stop   chan struct{}
 	halted sync.Once
 
@@ -84,17 +87,25 @@
 // Start starts a coordinator.
 func Start(cfg *Config, log *slog.Logger, extras ...Extra) (*Coordinator, error) {
 	k := &Coordinator{cfg: cfg, log: log, extras: extras, stop: make(chan struct{}), discovery: cfg.Discovery}
-	most := max(32, cfg.Limits.Sockets-ownSockets)
+	most := cfg.Limits.Sockets - ownSockets
+	if cfg.Operator != "" {
+		most -= admin.Sockets
+	}
+	most = max(32, most)
 	budget := lnet.NewBudget(most, most/nodeShare)
 	budget.LimitRings(cfg.Limits.MemoryMB << 20 / ringShare)
 	post := func(e core.Event) { k.core.Post(e) }
-	k.nodes = NewNodes(cfg, budget, log, post)
+	k.counts = &core.Counts{}
+	for _, name := range cfg.Classes { // so that each is there from the first look on
+		k.counts.Class(name)
+	}
+	k.nodes = NewNodes(cfg, budget, log, k.counts, post)
 	backends := []core.Backend{k.nodes}
 	for _, x := range extras {
 		backends = append(backends, x.Backend())
 	}
-	k.front = &Front{cfg: cfg, log: log, via: k.nodes}
-	conf := core.Config{Settings: cfg.Module, Seed: cfg.seed(), Backends: backends, Log: log,
+	k.front = &Front{cfg: cfg, log: log, via: k.nodes, count: k.counts}
+	conf := core.Config{Settings: cfg.Module, Seed: cfg.seed(), Backends: backends, Log: log, Counts: k.counts,
 		Listed: func() { k.front.ready.Store(true) }}
 	var err error
 	if cfg.PeerListen != "" {
@@ -117,6 +128,7 @@
 		if k.server, err = lnet.Listen(cfg.Listen, budget, log, k.front.Serve); err != nil {
 			return nil, err
 		}
+		k.server.TurnedAway = k.front.TurnAway
 	}
 	go k.core.Run()
 	if cfg.Known != nil { // what was known before a restart: enough to begin with
@@ -139,6 +151,11 @@
 	if k.server != nil {
 		go k.server.Serve()
 	}
+	if cfg.Operator != "" {
+		if k.door, err = admin.Open(cfg.Operator, doorState{k}, log); err != nil {
+			log.Error("the operators' door stays shut: serving without it", "address", cfg.Operator, "err", err)
+		}
+	}
 	log.Info("started", "name", cfg.Name, "listen", cfg.Listen)
 	return k, nil
 }
@@ -146,6 +163,27 @@
 // Addr is the address that clients reach.
 func (k *Coordinator) Addr() string { return k.server.Addr() }
 
+// Door is the address of the operators' door.
+func (k *Coordinator) Door() string { return k.door.Addr() }
+
+// doorState is what the operators' door shows of a coordinator.
+type doorState struct{ k *Coordinator }
+
+// Ready tells that this process can serve.
+func (d doorState) Ready() bool { return d.k.front.ready.Load() }
+
+// Figures are this process's counts.
+func (d doorState) Figures() admin.Figures {
+	c := d.k.counts
+	f := admin.Figures{OK: map[string]int64{}, Shed: map[string]int64{}, Errors: map[string]int64{},
+		Tries: c.Tries.Load(), Active: c.Active.Load(), PoolSize: c.Listed.Load(), PoolEjected: c.Avoided.Load(),
+		ConfigApplied: c.Applied.Load(), ConfigRejected: c.Rejected.Load()}
+	for name, x := range c.Classes() {
+		f.OK[name], f.Shed[name], f.Errors[name] = x.Of(core.Answered), x.Of(core.Refused), x.Of(core.Failed)
+	}
+	return f
+}
+
 // Reload takes in a configuration that was read anew. Of a running coordinator only discovery's address can
 // change: the watch moves there at once and begins with the whole list. Queries and known nodes stay. What
 // else differs is named in the log and takes a restart. It must not be called from two goroutines at once.
@@ -167,9 +205,16 @@
 		k.discovery = cfg.Discovery
 		k.watcher.moveTo(cfg.Discovery)
 	}
+	k.counts.Applied.Add(1)
 	k.log.Info("configuration reloaded", "discovery", k.discovery)
 }
 
+// Reject tells that a configuration was turned down: the old one stays, whole.
+func (k *Coordinator) Reject(err error) {
+	k.counts.Rejected.Add(1)
+	k.log.Error("configuration not reloaded: the old one stays", "err", err)
+}
+
 // Shutdown ends in order: not ready any more; then, once the clients have gone elsewhere or time is short, no
 // new connections or requests; everything that was taken is answered, and then the end. Until then clients
 // that have no coordinator to go to, as the others may be starting anew just now, are served as ever.
@@ -237,6 +282,9 @@
 func (k *Coordinator) halt() {
 	k.halted.Do(func() {
 		close(k.stop)
+		if k.door != nil {
+			k.door.Close()
+		}
 		k.core.Close()
 		if k.peers != nil {
 			_ = k.peers.c.Close()
--- a/internal/promql/front.go
+++ b/internal/promql/front.go
@@ -404,7 +404,7 @@
 	case core.Answered:
 		go func() {
 			defer j.close()
-			j.x.Reply(j.answer(f))
+			j.reply(j.answer(f))
 		}()
 		return
 	case core.Refused:
@@ -413,19 +413,32 @@
 		j.mu.Unlock()
 		switch {
 		case word != nil:
-			j.x.Reply(errorReply(&apiError{422, "execution", word}))
+			j.reply(errorReply(&apiError{422, "execution", word}))
 		case !time.Now().Before(j.deadline.Add(-20 * time.Millisecond)):
-			j.x.Reply(unavailable("timeout", f.RetryAfter, errors.New("the query's time is over")))
+			j.reply(unavailable("timeout", f.RetryAfter, errors.New("the query's time is over")))
 		default:
-			j.x.Reply(unavailable("unavailable", f.RetryAfter,
+			j.reply(unavailable("unavailable", f.RetryAfter,
 				errors.New("not every shard can answer now: refused rather than thin")))
 		}
 	default:
-		j.x.Reply(unavailable("timeout", j.f.core.FullAdvice(), errors.New("the query was not decided in time")))
+		j.reply(unavailable("timeout", j.f.core.FullAdvice(), errors.New("the query was not decided in time")))
 	}
 	j.close()
 }
 
+// reply counts what the client is told, and tells it.
+func (j *job) reply(r lnet.Response) {
+	switch count := j.f.core.Counts().Class(j.f.cfg.Class); r.Status {
+	case 200:
+		count.Add(core.Answered)
+	case 503:
+		count.Add(core.Refused)
+	default:
+		count.Add(core.Failed)
+	}
+	j.x.Reply(r)
+}
+
 // answer merges the shards' results. What is missing or in conflict is never left out without a word: the
 // query is refused, or, where the class's floor allows it, its answer is marked partial.
 func (j *job) answer(f core.Final) lnet.Response {
@@ -717,6 +730,9 @@
 	body := j.q.form(fl.a.Shard, time.Until(until)).Encode()
 	head := [][2]string{{"Content-Type", "application/x-www-form-urlencoded"}, {"Accept", "application/json"}}
 	err := c.Write("POST", fl.s.path+rangePath, fl.s.addr, head, []byte(body), time.Now().Add(writeLimit))
+	if err == nil {
+		fl.f.core.Counts().Tries.Add(1)
+	}
 	if err != nil { // its last byte was not written: it never ran
 		fl.leave()
 		return balance.NoConnection, core.Value{}
