Let operators put data nodes out and back

The overlay is core.overlay; the module takes the host's word by the new list mode Local, which unlike a change from discovery does not count as the sign that a subscription lives (balance.go, list).

--- a/balance/api.go
+++ b/balance/api.go
@@ -155,6 +155,7 @@
 	Full                   // every line
 	Cached                 // every line, as held before a restart: it may be stale
 	Failed                 // a Watch or Fetch failed, or the subscription broke; no lines
+	Local                  // changed lines only, by the host's own word and not discovery's
 )
 
 // Outcome is how an attempt or a probe ended.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -221,7 +221,7 @@
 
 // list takes in what discovery says of the replicas.
 func (b *Balancer) list(e *Event) {
-	if e.Mode != Cached {
+	if e.Mode != Cached && e.Mode != Local {
 		b.asked = false
 		b.watching = e.Mode != Failed
 		b.askGap = min(2*b.askGap, askMost) // growing and random: it may be down
@@ -236,7 +236,7 @@
 	if e.Mode == Failed {
 		return
 	}
-	if e.Mode != Delta {
+	if e.Mode != Delta && e.Mode != Local {
 		for _, r := range b.replicas {
 			r.State = Gone // unless the list names it below
 		}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -1,11 +1,14 @@
 // Package admin is the operators' door: an address of its own where on-call staff ask how this coordinator
-// does. It owns the calls and the words of their replies. It must never hold
-// the state that it shows: that is behind State.
+// does and put data nodes out and back. It owns the calls and the words of their replies. It must never hold
+// the state that it shows or changes: that is behind State, and so is every wait.
 package admin
 
 import (
 	"encoding/json"
+	"errors"
 	"log/slog"
+	"strings"
+	"time"
 
 	lnet "lapislever/internal/net"
 )
@@ -15,6 +18,16 @@
 	// can shut operators out.
 	Sockets = callers + callers/4
 	callers = 12 // connections at a time; one that asks nothing makes way for the next
+	maxID   = 256
+	// An answer is owed within 1 s. Should the coordinator not get to a call by this, the operator is told
+	// so, and may ask again: no call does more the second time.
+	answerIn = 800 * time.Millisecond
+)
+
+// What State may say to a call.
+var (
+	ErrUnknown = errors.New("no data node of that id is listed")
+	ErrLate    = errors.New("not done in time, and may still be: call again")
 )
 
 // Figures are a process's counts since its start, by their names on the wire.
@@ -34,6 +47,8 @@
 type State interface {
 	Ready() bool
 	Figures() Figures
+	// Cordon puts a data node out or back, waits until that holds, and gives up after the time given.
+	Cordon(id string, out bool, within time.Duration) error
 }
 
 // Door is an open door.
@@ -68,12 +83,16 @@
 	say := func(status int, text string) {
 		x.Reply(lnet.Response{Status: status, Body: []byte(text + "\n"), Close: true})
 	}
+	method := "GET"
+	if r.Path == "/admin/cordon" || r.Path == "/admin/uncordon" {
+		method = "POST"
+	}
 	switch {
-	case r.Path != "/admin/health" && r.Path != "/admin/stats":
+	case r.Path != "/admin/health" && r.Path != "/admin/stats" && method == "GET":
 		say(404, "no such call")
-	case r.Method != "GET":
-		x.Reply(lnet.Response{Status: 405, Header: [][2]string{{"Allow", "GET"}}, Close: true,
-			Body: []byte("use GET\n")})
+	case r.Method != method:
+		x.Reply(lnet.Response{Status: 405, Header: [][2]string{{"Allow", method}}, Close: true,
+			Body: []byte("use " + method + "\n")})
 	case r.Path == "/admin/health" && d.state.Ready():
 		say(200, "serving")
 	case r.Path == "/admin/health":
@@ -85,6 +104,29 @@
 			return nil
 		}
 		x.Reply(lnet.Response{Status: 200, Type: "application/json", Body: b, Close: true})
+	default:
+		id := strings.TrimSpace(string(r.Body))
+		if id == "" || len(id) > maxID || strings.ContainsAny(id, " \t\r\n") {
+			say(400, "the body has to be one data node's id")
+			return nil
+		}
+		go d.cordon(id, r.Path == "/admin/cordon", say)
 	}
 	return nil
 }
+
+// cordon carries out one call to put a data node out or back; it waits, so it has a goroutine of its own.
+func (d *Door) cordon(id string, out bool, say func(status int, text string)) {
+	err := d.state.Cordon(id, out, answerIn)
+	d.log.Info("operator's call", "node", id, "out", out, "err", err)
+	switch {
+	case errors.Is(err, ErrUnknown):
+		say(404, err.Error())
+	case err != nil:
+		say(503, err.Error())
+	case out:
+		say(200, "out")
+	default:
+		say(200, "back")
+	}
+}
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -1,6 +1,7 @@
 package admin
 
 import (
+	"fmt"
 	"net"
 	"strings"
 	"testing"
@@ -10,13 +11,28 @@
 )
 
 // state is a coordinator with fixed figures.
-type state struct{ ready bool }
+type state struct {
+	ready bool
+	calls []string
+}
 
 func (s *state) Ready() bool { return s.ready }
 func (s *state) Figures() Figures {
 	return Figures{OK: map[string]int64{"C": 812}, Active: 14}
 }
 
+// Cordon knows one data node, and one that it gets to too late.
+func (s *state) Cordon(id string, out bool, _ time.Duration) error {
+	s.calls = append(s.calls, fmt.Sprint(id, out))
+	switch id {
+	case "s-1":
+		return nil
+	case "late":
+		return ErrLate
+	}
+	return ErrUnknown
+}
+
 func open(t *testing.T, s *state) string {
 	t.Helper()
 	d, err := Open("127.0.0.1:0", s, standin.Quiet())
@@ -41,6 +57,13 @@
 		{"POST", "/admin/stats", "", 405, ""},
 		{"GET", "/admin", "", 404, ""},
 		{"GET", "/up", "", 404, ""},
+		{"POST", "/admin/cordon", "s-1", 200, ""},
+		{"POST", "/admin/uncordon", " s-1\n", 200, ""},
+		{"POST", "/admin/cordon", "s-2", 404, ""},
+		{"POST", "/admin/cordon", "late", 503, ""},
+		{"POST", "/admin/cordon", "", 400, ""},
+		{"POST", "/admin/cordon", "s-1 s-2", 400, ""},
+		{"GET", "/admin/cordon", "", 405, ""},
 	} {
 		r := standin.Call(t, addr, c.method, c.path, nil, c.body)
 		if r.Status != c.status || !strings.HasPrefix(string(r.Body), c.want) {
@@ -50,6 +73,9 @@
 			t.Errorf("%s %s: the connection goes on", c.method, c.path)
 		}
 	}
+	if got := strings.Join(s.calls, " "); got != "s-1true s-1false s-2true latetrue" {
+		t.Fatalf("the coordinator was told %q", got)
+	}
 	s.ready = true
 	if r := standin.Call(t, addr, "GET", "/admin/health", nil, ""); r.Status != 200 {
 		t.Fatalf("%d", r.Status)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -229,7 +229,17 @@
 // stopping tells that this instance ends: no query may be held beyond until.
 type stopping struct{ until time.Time }
 
+// Cordon is an operator's call to put a server out, or back. While out it gets nothing new, whatever the list
+// says: the module is told that it drains. Back, it counts as started at that moment at the earliest, for it
+// may have been restarted without the list's telling yet.
+type Cordon struct {
+	Server balance.ReplicaID
+	Out    bool
+	Done   chan<- bool // hears once whether the server is known; it has room
+}
+
 func (*Query) isEvent()      {}
+func (Cordon) isEvent()      {}
 func (Outcome) isEvent()     {}
 func (Gone) isEvent()        {}
 func (Listed) isEvent()      {}
@@ -276,9 +286,11 @@
 	held     int // queries and parts
 	until    balance.Micros
 	sawList  bool
-	listed   map[balance.ReplicaID]balance.State
-	countAt  balance.Micros // when the list's figures are next due
-	idle     chan struct{}  // closed once nothing is open while stopping
+	listed   map[balance.ReplicaID]balance.Replica // as discovery tells
+	out      map[balance.ReplicaID]bool            // put out by operators
+	since    map[balance.ReplicaID]balance.Micros  // put back then: started no earlier
+	countAt  balance.Micros                        // when the list's figures are next due
+	idle     chan struct{}                         // closed once nothing is open while stopping
 	idleDone bool
 }
 
@@ -296,7 +308,8 @@
 		cfg: cfg, module: m, queue: make(chan Event, queueSize), done: make(chan struct{}),
 		quit: make(chan struct{}), idle: make(chan struct{}),
 		epoch: now, base: now.UnixMicro(), queries: map[uint32]*Query{}, parts: map[uint32]*part{},
-		names: map[string]*Query{}, numbers: map[float32]bool{}, listed: map[balance.ReplicaID]balance.State{},
+		names: map[string]*Query{}, numbers: map[float32]bool{}, listed: map[balance.ReplicaID]balance.Replica{},
+		out: map[balance.ReplicaID]bool{}, since: map[balance.ReplicaID]balance.Micros{},
 	}, nil
 }
 
@@ -339,6 +352,28 @@
 	return c.idle
 }
 
+// Cordon puts a server out or back, and returns once that holds. It gives up waiting after the time given; the
+// call may then be carried out all the same.
+func (c *Core) Cordon(id balance.ReplicaID, out bool, within time.Duration) (known, inTime bool) {
+	done := make(chan bool, 1)
+	late := time.NewTimer(within)
+	defer late.Stop()
+	select {
+	case c.queue <- Cordon{Server: id, Out: out, Done: done}:
+	case <-late.C:
+		return false, false
+	case <-c.done:
+		return false, false
+	}
+	select {
+	case known = <-done:
+		return known, true
+	case <-late.C:
+	case <-c.done:
+	}
+	return false, false
+}
+
 // Close ends Run.
 func (c *Core) Close() { close(c.quit) }
 
@@ -440,14 +475,10 @@
 			c.cfg.Counts.Active.Add(-1)
 		}
 	case Listed:
-		c.learn(e)
-		for i := range e.Replicas { // told to stop: what is queued for it must not go out any more
-			if r := &e.Replicas[i]; r.State != balance.Ready {
-				c.stopSends(r.ID)
-			}
-		}
-		c.sawList = c.sawList || len(e.Replicas) > 0
-		c.events = append(c.events, balance.Event{Kind: balance.List, Mode: e.Mode, Replicas: e.Replicas})
+		c.learn(&e)
+		c.tell(e.Mode, e.Replicas)
+	case Cordon:
+		c.cordon(e)
 	case ProbeDone:
 		c.events = append(c.events, balance.Event{Kind: balance.ProbeResult, Replica: e.Replica,
 			Outcome: e.Outcome, Elapsed: e.Elapsed.Microseconds(), Report: e.Report})
@@ -462,19 +493,65 @@
 	}
 }
 
-// learn remembers what is listed.
-func (c *Core) learn(e Listed) {
+// learn remembers what discovery lists, and lays over it what operators have said.
+func (c *Core) learn(e *Listed) {
 	if e.Mode == balance.Full || e.Mode == balance.Cached {
 		clear(c.listed)
 	}
-	for i := range e.Replicas {
-		if r := &e.Replicas[i]; r.State == balance.Gone {
+	c.sawList = c.sawList || len(e.Replicas) > 0
+	replicas := make([]balance.Replica, 0, len(e.Replicas))
+	for _, r := range e.Replicas {
+		if r.State == balance.Gone {
 			delete(c.listed, r.ID)
 		} else {
-			c.listed[r.ID] = r.State
+			c.listed[r.ID] = r
+		}
+		replicas = append(replicas, c.overlay(r))
+	}
+	e.Replicas = replicas
+	for id := range c.since { // ids never come again, and would else pile up
+		if _, ok := c.listed[id]; !ok {
+			delete(c.since, id)
+		}
+	}
+}
+
+// overlay is what the module is told of a listed server.
+func (c *Core) overlay(r balance.Replica) balance.Replica {
+	r.Started = max(r.Started, c.since[r.ID])
+	if c.out[r.ID] && r.State == balance.Ready {
+		r.State = balance.Draining
+	}
+	return r
+}
+
+// tell has the module hear of servers. What is queued for one that must stop does not go out any more.
+func (c *Core) tell(mode balance.ListMode, replicas []balance.Replica) {
+	for i := range replicas {
+		if r := &replicas[i]; r.State != balance.Ready {
+			c.stopSends(r.ID)
 		}
 	}
 	c.countAt = 0
+	c.events = append(c.events, balance.Event{Kind: balance.List, Mode: mode, Replicas: replicas})
+}
+
+// cordon puts a server out or back. Called twice it does no more than once.
+func (c *Core) cordon(e Cordon) {
+	r, listed := c.listed[e.Server]
+	known := listed || c.out[e.Server]
+	if known && e.Out != c.out[e.Server] {
+		if e.Out {
+			c.out[e.Server] = true
+		} else {
+			delete(c.out, e.Server)
+			c.since[e.Server] = c.clock(time.Now())
+		}
+		if listed {
+			c.tell(balance.Local, []balance.Replica{c.overlay(r)})
+		}
+	}
+	e.Done <- known
 }
 
 // countList writes the list's figures, now and then and after each change.
@@ -484,7 +561,13 @@
 	}
 	c.countAt = c.now + countSpan.Microseconds()
 	c.cfg.Counts.Listed.Store(int64(len(c.listed)))
-	c.cfg.Counts.Avoided.Store(int64(c.module.Avoided()))
+	avoided := c.module.Avoided()
+	for id := range c.out {
+		if _, ok := c.listed[id]; ok {
+			avoided++
+		}
+	}
+	c.cfg.Counts.Avoided.Store(int64(avoided))
 }
 
 func (c *Core) stopSends(to balance.ReplicaID) {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -278,3 +278,45 @@
 		t.Fatal("queries stay open")
 	}
 }
+
+// cordon says an operator's word, and returns whether the server was known.
+func (k *rig) cordon(id balance.ReplicaID, out bool) bool {
+	done := make(chan bool, 1)
+	k.tell(Cordon{Server: id, Out: out, Done: done})
+	return <-done
+}
+
+// What is queued for a server that operators put out is taken back before they hear the yes, and nothing new
+// goes there, also when the list tells of it anew. Back, it is cold though the list says otherwise.
+func TestCordonTakesQueuedSendsBack(t *testing.T) {
+	s := settings()
+	s.ColdShare, s.Ramp, s.FallMultiple, s.FallSpan = 0.2, 10000*ms, 2.5, 2000*ms
+	k := start(t, s)
+	k.tell(k.query("a", 1))
+	first := k.f.calls[0][0]
+	k.f.queued = []*Attempt{first}
+	if k.cordon(9, true) || !k.cordon(first.Replica, true) {
+		t.Fatal("only what is listed is known")
+	}
+	if len(k.f.calls) != 2 || k.f.calls[1][0].Replica == first.Replica || !first.over {
+		t.Fatalf("%d calls", len(k.f.calls))
+	}
+	k.f.queued = nil
+	k.tell(Listed{Mode: balance.Full, Replicas: []balance.Replica{{ID: 1, State: balance.Ready, Size: 1},
+		{ID: 2, State: balance.Ready, Size: 1}}})
+	for i := range 20 {
+		k.tell(k.query(string(rune('b'+i)), 1))
+	}
+	for _, c := range k.f.calls[1:] {
+		if c[0].Replica == first.Replica {
+			t.Fatal("a send to a server that is out")
+		}
+	}
+	if !k.cordon(first.Replica, false) || k.overlay(k.listed[first.Replica]).Started == 0 {
+		t.Fatal("a server that is back counts as warm")
+	}
+	k.tell(Listed{Mode: balance.Full, Replicas: []balance.Replica{{ID: 3, State: balance.Ready, Size: 1}}})
+	if len(k.since) != 0 {
+		t.Fatal("servers that are gone pile up")
+	}
+}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -795,3 +795,39 @@
 	c.Close()
 	standin.Until(t, "its end", func() bool { return figures(t, k).Active == 0 })
 }
+
+// A node that operators put out gets nothing new, whatever the list says, until they put it back; then it is
+// in use again. Two calls out are undone by one call back.
+func TestCordonHoldsWhateverTheListSays(t *testing.T) {
+	a, b := standin.NewNode(t, ok), standin.NewNode(t, ok)
+	d := newDiscovery(t, hostAt("a", a.Addr, 0), hostAt("b", b.Addr, 0))
+	k := run(t, door(t, d))
+	call := func(name, id string, want int) {
+		t.Helper()
+		if r := standin.Call(t, k.Door(), "POST", "/admin/"+name, nil, id); r.Status != want {
+			t.Fatalf("%s %s: %d %s", name, id, r.Status, r.Body)
+		}
+	}
+	call("cordon", "c", 404)
+	call("cordon", "a", 200)
+	call("cordon", "a", 200)
+	standin.Until(t, "the figure", func() bool { f := figures(t, k); return f.PoolSize == 2 && f.PoolEjected == 1 })
+	before := len(a.Parts())
+	again := hostAt("a", a.Addr, 0)
+	again.Born = float64(time.Now().UnixMilli())
+	d.change(t, again)
+	standin.Until(t, "the change", func() bool { return len(d.queries()) >= 3 })
+	for range 20 {
+		if r := post(t, k, "rate-check", 0); r.Status != 200 {
+			t.Fatalf("%d", r.Status)
+		}
+	}
+	if n := len(a.Parts()) - before; n != 0 {
+		t.Fatalf("%d parts went to a node that is out", n)
+	}
+	call("uncordon", "a", 200)
+	standin.Until(t, "use of the node that is back", func() bool {
+		post(t, k, "rate-check", 0)
+		return len(a.Parts()) > before
+	})
+}
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -184,6 +184,18 @@
 	return f
 }
 
+// Cordon puts a data node out or back.
+func (d doorState) Cordon(id string, out bool, within time.Duration) error {
+	known, inTime := d.k.core.Cordon(core.ServerID(id), out, within)
+	switch {
+	case !inTime:
+		return admin.ErrLate
+	case !known:
+		return admin.ErrUnknown
+	}
+	return nil
+}
+
 // Reload takes in a configuration that was read anew. Of a running coordinator only discovery's address can
 // change: the watch moves there at once and begins with the whole list. Queries and known nodes stay. What
 // else differs is named in the log and takes a restart. It must not be called from two goroutines at once.
