Take over sockets, cordons and descriptors from the process that serves

Checked with two processes in one test: 20 requests and /up on new connections during the end of the old one, one on a connection from before, calls out at the one and back at the other. A socket file that is left over, one where nobody answers and one that answers nonsense cost 1 s at most, and the start goes on.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"maps"
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -235,11 +236,24 @@
 type Cordon struct {
 	Server balance.ReplicaID
 	Out    bool
-	Done   chan<- bool // hears once whether the server is known; it has room
+	At     balance.Micros // when it was called, in Unix microseconds; 0: now
+	Sure   bool           // another process of this coordinator knows the server: no question
+	Done   chan<- bool    // hears once whether the server is known; it has room. Or nil
 }
 
+// Inherited is what another process of this coordinator has been told by operators.
+type Inherited struct {
+	Out   []balance.ReplicaID
+	Since map[balance.ReplicaID]balance.Micros
+}
+
+// cordons asks for what Inherited tells the next process.
+type cordons struct{ done chan<- Inherited }
+
 func (*Query) isEvent()      {}
 func (Cordon) isEvent()      {}
+func (Inherited) isEvent()   {}
+func (cordons) isEvent()     {}
 func (Outcome) isEvent()     {}
 func (Gone) isEvent()        {}
 func (Listed) isEvent()      {}
@@ -352,26 +366,37 @@
 	return c.idle
 }
 
-// Cordon puts a server out or back, and returns once that holds. It gives up waiting after the time given; the
-// call may then be carried out all the same.
-func (c *Core) Cordon(id balance.ReplicaID, out bool, within time.Duration) (known, inTime bool) {
-	done := make(chan bool, 1)
+// ask queues an event that is answered on done, and waits for that for as long as is given.
+func ask[T any](c *Core, e Event, done <-chan T, within time.Duration) (answer T, inTime bool) {
 	late := time.NewTimer(within)
 	defer late.Stop()
 	select {
-	case c.queue <- Cordon{Server: id, Out: out, Done: done}:
+	case c.queue <- e:
 	case <-late.C:
-		return false, false
+		return answer, false
 	case <-c.done:
-		return false, false
+		return answer, false
 	}
 	select {
-	case known = <-done:
-		return known, true
+	case answer = <-done:
+		return answer, true
 	case <-late.C:
 	case <-c.done:
 	}
-	return false, false
+	return answer, false
+}
+
+// Cordon puts a server out or back, and returns once that holds. It gives up waiting after the time given; the
+// call may then be carried out all the same.
+func (c *Core) Cordon(id balance.ReplicaID, out bool, within time.Duration) (known, inTime bool) {
+	done := make(chan bool, 1)
+	return ask(c, Cordon{Server: id, Out: out, Done: done}, done, within)
+}
+
+// Cordoned is what operators have said so far. What was queued before has then been taken in.
+func (c *Core) Cordoned(within time.Duration) (Inherited, bool) {
+	done := make(chan Inherited, 1)
+	return ask(c, cordons{done: done}, done, within)
 }
 
 // Close ends Run.
@@ -479,6 +504,13 @@
 		c.tell(e.Mode, e.Replicas)
 	case Cordon:
 		c.cordon(e)
+	case Inherited: // it comes before any list
+		for _, id := range e.Out {
+			c.out[id] = true
+		}
+		maps.Copy(c.since, e.Since)
+	case cordons:
+		e.done <- Inherited{Out: slices.Sorted(maps.Keys(c.out)), Since: maps.Clone(c.since)}
 	case ProbeDone:
 		c.events = append(c.events, balance.Event{Kind: balance.ProbeResult, Replica: e.Replica,
 			Outcome: e.Outcome, Elapsed: e.Elapsed.Microseconds(), Report: e.Report})
@@ -509,10 +541,11 @@
 		replicas = append(replicas, c.overlay(r))
 	}
 	e.Replicas = replicas
-	for id := range c.since { // ids never come again, and would else pile up
-		if _, ok := c.listed[id]; !ok {
-			delete(c.since, id)
-		}
+	if e.Mode != balance.Cached { // ids never come again, and would else pile up
+		maps.DeleteFunc(c.since, func(id balance.ReplicaID, _ balance.Micros) bool {
+			_, ok := c.listed[id]
+			return !ok
+		})
 	}
 }
 
@@ -539,19 +572,23 @@
 // cordon puts a server out or back. Called twice it does no more than once.
 func (c *Core) cordon(e Cordon) {
 	r, listed := c.listed[e.Server]
-	known := listed || c.out[e.Server]
+	known := listed || c.out[e.Server] || e.Sure
 	if known && e.Out != c.out[e.Server] {
 		if e.Out {
 			c.out[e.Server] = true
 		} else {
 			delete(c.out, e.Server)
-			c.since[e.Server] = c.clock(time.Now())
+			if c.since[e.Server] = e.At; e.At == 0 {
+				c.since[e.Server] = c.clock(time.Now())
+			}
 		}
 		if listed {
 			c.tell(balance.Local, []balance.Replica{c.overlay(r)})
 		}
 	}
-	e.Done <- known
+	if e.Done != nil {
+		e.Done <- known
+	}
 }
 
 // countList writes the list's figures, now and then and after each change.
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -8,6 +8,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"log/slog"
@@ -15,7 +16,10 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Sizes and limits of the network code.
@@ -238,6 +242,18 @@
 // takeClient takes one for a client's connection.
 func (b *Budget) takeClient() bool { return b.take(b.kept.Load()) }
 
+// Limit changes the budget. What is held beyond it stays until it is given back.
+func (b *Budget) Limit(most, kept int) {
+	b.most.Store(int64(most))
+	b.kept.Store(int64(kept))
+}
+
+// Most is how many there are.
+func (b *Budget) Most() int { return int(b.most.Load()) }
+
+// Used is how many are taken.
+func (b *Budget) Used() int { return int(b.used.Load()) }
+
 // Release gives one back.
 func (b *Budget) Release() { b.used.Add(-1) }
 
@@ -275,16 +291,41 @@
 	wg         sync.WaitGroup
 }
 
+// reusing lets another process listen on the same address: the next version of this program, while this one
+// ends. Where the system refuses that, the address is this process's alone.
+var reusing = net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+	return c.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+	})
+}}
+
 // Listen starts to listen on an address and on nothing else.
 func Listen(addr string, budget *Budget, log *slog.Logger, h Handler) (*Server, error) {
-	l, err := net.Listen("tcp", addr)
+	l, err := reusing.Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return NewServer(l, budget, log, h), nil
+}
+
+// ListenPacket opens a socket for datagrams.
+func ListenPacket(addr string) (*net.UDPConn, error) {
+	c, err := reusing.ListenPacket(context.Background(), "udp", addr)
 	if err != nil {
 		return nil, err
 	}
+	return c.(*net.UDPConn), nil
+}
+
+// NewServer serves on a listener that is there.
+func NewServer(l net.Listener, budget *Budget, log *slog.Logger, h Handler) *Server {
 	return &Server{l: l, handle: h, budget: budget, log: log, conns: map[*serverConn]struct{}{},
-		spares: max(2, min(spareMost, budget.most.Load()/4))}, nil
+		spares: max(2, min(spareMost, budget.most.Load()/4))}
 }
 
+// Listener is the listener.
+func (s *Server) Listener() net.Listener { return s.l }
+
 // Addr is the address listened on.
 func (s *Server) Addr() string { return s.l.Addr().String() }
 
@@ -301,7 +342,7 @@
 			continue
 		}
 		held := s.budget.takeClient()
-		if !held && s.evict() {
+		if !held && s.evict(kept) {
 			held = s.budget.takeClient()
 		}
 		if !held && s.spare.Add(1) > s.spares {
@@ -325,17 +366,18 @@
 // evict closes the client connection that can best be spared, so that a crowd does not keep others out: one
 // that only reads an error yet, one that has asked nothing or has stopped in the middle of its first request,
 // else the one that has been without a request for the longest time, as the protocol allows.
-func (s *Server) evict() bool {
+// Only what can be spared better than the bound is closed.
+func (s *Server) evict(bound connUse) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var spared *serverConn
 	var since time.Time
-	worst := kept
+	worst := bound
 	for c := range s.conns {
 		if !c.held {
 			continue
 		}
-		if use, at := c.use(); use < worst || use == worst && use != kept && at.Before(since) {
+		if use, at := c.use(); use < worst || use == worst && use != bound && at.Before(since) {
 			spared, worst, since = c, use, at
 		}
 	}
@@ -347,10 +389,16 @@
 	return true
 }
 
+// MakeWay closes a connection of which no request is to be expected, if there is one.
+func (s *Server) MakeWay() bool { return s.evict(idle) }
+
+// Wind has every reply end its connection from now on. Idle connections stay: a request may be on its way.
+func (s *Server) Wind() { s.closing.Store(true) }
+
 // Finish ends the server: from now on every reply ends its connection, and idle ones are closed. Called
 // again, it closes those that have become idle since.
 func (s *Server) Finish() {
-	s.closing.Store(true)
+	s.Wind()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -40,6 +40,7 @@
 	Known      *hostList      `json:"known"`
 	Settings   map[string]any `json:"settings"`
 
+	TempDir     string           `json:"-"` // the platform's; an upgrade's two processes meet there
 	Module      balance.Settings `json:"-"`
 	Classes     []string         `json:"-"`
 	Zones       []string         `json:"-"`
@@ -64,6 +65,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	c.TempDir = env("TMPDIR")
 	return c, nil
 }
 
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -397,7 +397,7 @@
 	_ = socks[0].Close()
 	c.PeerListen, c.Peers = own, []string{own, peer.LocalAddr().String()}
 	got := make(chan core.Event, 10)
-	p, err := listenPeers(c, standin.Quiet(), func(e core.Event) { got <- e })
+	p, err := listenPeers(c, standin.Quiet(), func(e core.Event) { got <- e }, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -13,6 +13,7 @@
 	"runtime"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lapislever/balance"
@@ -34,11 +35,10 @@
 
 	// An ending coordinator goes on serving for as long as new connections may still come, and beyond that for
 	// as long as clients use it and there is time; it answers all that it took well before it may be killed.
-	acceptOn    = 600 * time.Millisecond
-	serveOn     = 2400 * time.Millisecond
-	quietOn     = 500 * time.Millisecond // without a request, for clients to count as gone elsewhere
-	answerOn    = 3200 * time.Millisecond
-	endingLimit = 3500 * time.Millisecond
+	acceptOn   = 600 * time.Millisecond
+	serveLeast = 800 * time.Millisecond // left for what came last
+	lastReply  = 300 * time.Millisecond // the same where a successor serves, and little comes
+	quietOn    = 500 * time.Millisecond // without a request, for clients to count as gone elsewhere
 )
 
 // Extra is another front on the same core.
@@ -54,25 +54,30 @@
 type ender interface {
 	Retire()                // tells who asks that it is not ready any more
 	StopListening()         // no new connections
+	Wind()                  // from now on replies end their connections
 	LastRequest() time.Time // when a request last came
-	Finish()                // from now on replies end their connections, and idle ones are closed
+	Finish()                // and idle ones are closed
 	Wait(most time.Duration) bool
 }
 
 // Coordinator is one running coordinator.
 type Coordinator struct {
-	cfg    *Config
-	log    *slog.Logger
-	core   *core.Core
-	front  *Front
-	server *lnet.Server
-	nodes  *Nodes
-	peers  *peers
-	extras []Extra
-	counts *core.Counts
-	door   *admin.Door
-	stop   chan struct{}
-	halted sync.Once
+	cfg       *Config
+	log       *slog.Logger
+	core      *core.Core
+	front     *Front
+	server    *lnet.Server
+	nodes     *Nodes
+	peers     *peers
+	extras    []Extra
+	counts    *core.Counts
+	door      *admin.Door
+	ending    atomic.Bool
+	accepting atomic.Bool   // the fronts were started
+	listed    chan struct{} // closed once a list is known
+	upgrade   *upgrade
+	stop      chan struct{}
+	halted    sync.Once
 
 	watcher   *watcher
 	discovery string // the address in use; Reload's own
@@ -86,12 +91,10 @@
 
 // Start starts a coordinator.
 func Start(cfg *Config, log *slog.Logger, extras ...Extra) (*Coordinator, error) {
-	k := &Coordinator{cfg: cfg, log: log, extras: extras, stop: make(chan struct{}), discovery: cfg.Discovery}
-	most := cfg.Limits.Sockets - ownSockets
-	if cfg.Operator != "" {
-		most -= admin.Sockets
-	}
-	most = max(32, most)
+	k := &Coordinator{cfg: cfg, log: log, extras: extras, stop: make(chan struct{}), discovery: cfg.Discovery,
+		listed: make(chan struct{})}
+	h := inherit(cfg, log)
+	most := max(32, cfg.Limits.Sockets-ownSockets-k.doorSockets())
 	budget := lnet.NewBudget(most, most/nodeShare)
 	budget.LimitRings(cfg.Limits.MemoryMB << 20 / ringShare)
 	post := func(e core.Event) { k.core.Post(e) }
@@ -106,16 +109,16 @@
 	}
 	k.front = &Front{cfg: cfg, log: log, via: k.nodes, count: k.counts}
 	conf := core.Config{Settings: cfg.Module, Seed: cfg.seed(), Backends: backends, Log: log, Counts: k.counts,
-		Listed: func() { k.front.ready.Store(true) }}
+		Listed: func() { close(k.listed) }}
 	var err error
 	if cfg.PeerListen != "" {
-		if k.peers, err = listenPeers(cfg, log, post); err != nil {
+		if k.peers, err = listenPeers(cfg, log, post, h); err != nil {
 			return nil, err
 		}
 		conf.Peers = k.peers
 	}
 	w := &watcher{cfg: cfg, log: log, nodes: k.nodes, post: post, on: make(chan bool, 16),
-		fetch: make(chan struct{}, 16), move: make(chan string), stop: k.stop}
+		fetch: make(chan struct{}, 16), move: make(chan string), stop: k.stop, whole: make(chan struct{})}
 	k.watcher = w
 	if cfg.Module.Subscribe {
 		conf.Lister = w
@@ -124,13 +127,23 @@
 		return nil, err
 	}
 	k.front.core = k.core
-	if cfg.Listen != "" {
+	switch {
+	case h != nil:
+		k.server = lnet.NewServer(h.listener, budget, log, k.front.Serve)
+	case cfg.Listen != "":
 		if k.server, err = lnet.Listen(cfg.Listen, budget, log, k.front.Serve); err != nil {
 			return nil, err
 		}
+	}
+	if k.server != nil {
 		k.server.TurnedAway = k.front.TurnAway
 	}
 	go k.core.Run()
+	k.upgrade = &upgrade{k: k, path: socketPath(cfg), budget: budget, all: most}
+	if h != nil {
+		k.core.Post(core.Inherited{Out: h.greeting.Out, Since: h.greeting.Since})
+		k.upgrade.follow(h)
+	}
 	if cfg.Known != nil { // what was known before a restart: enough to begin with
 		w.seq = cfg.Known.Seq
 		k.nodes.Learn(cfg.Known.Hosts, true)
@@ -143,14 +156,12 @@
 	if cfg.Discovery != "" {
 		go w.run(!cfg.Module.Subscribe)
 	}
-	for _, x := range extras {
-		if err := x.Start(k.core, budget); err != nil {
+	if h == nil {
+		if err := k.accept(budget); err != nil {
 			return nil, err
 		}
 	}
-	if k.server != nil {
-		go k.server.Serve()
-	}
+	go k.prepare(h != nil, budget)
 	if cfg.Operator != "" {
 		if k.door, err = admin.Open(cfg.Operator, doorState{k}, log); err != nil {
 			log.Error("the operators' door stays shut: serving without it", "address", cfg.Operator, "err", err)
@@ -160,6 +171,53 @@
 	return k, nil
 }
 
+// accept begins to serve clients on all fronts.
+func (k *Coordinator) accept(budget *lnet.Budget) error {
+	defer k.accepting.Store(true)
+	for _, x := range k.extras {
+		if err := x.Start(k.core, budget); err != nil {
+			return err
+		}
+	}
+	if k.server != nil {
+		go k.server.Serve()
+	}
+	return nil
+}
+
+// prepare waits for the list and then tells that this process can serve. One that takes over from another
+// waits for discovery's own word, as the old process serves meanwhile, and takes no client before.
+func (k *Coordinator) prepare(successor bool, budget *lnet.Budget) {
+	select {
+	case <-k.listed:
+	case <-k.stop:
+		return
+	}
+	if successor {
+		select {
+		case <-k.watcher.whole:
+		case <-time.After(listWait):
+			k.log.Warn("taking over without discovery's word")
+		case <-k.stop:
+			return
+		}
+		k.core.Cordoned(linkWait) // behind the list in the core's queue: once it is back, that is taken in
+		if err := k.accept(budget); err != nil {
+			k.log.Error("a front could not be taken over", "err", err)
+		}
+	}
+	k.front.ready.Store(!k.ending.Load())
+	k.upgrade.ready()
+}
+
+// doorSockets is how many descriptors the operators' door needs.
+func (k *Coordinator) doorSockets() int {
+	if k.cfg.Operator == "" {
+		return 0
+	}
+	return admin.Sockets
+}
+
 // Addr is the address that clients reach.
 func (k *Coordinator) Addr() string { return k.server.Addr() }
 
@@ -170,7 +228,7 @@
 type doorState struct{ k *Coordinator }
 
 // Ready tells that this process can serve.
-func (d doorState) Ready() bool { return d.k.front.ready.Load() }
+func (d doorState) Ready() bool { return d.k.front.ready.Load() && !d.k.ending.Load() }
 
 // Figures are this process's counts.
 func (d doorState) Figures() admin.Figures {
@@ -187,6 +245,9 @@
 // Cordon puts a data node out or back.
 func (d doorState) Cordon(id string, out bool, within time.Duration) error {
 	known, inTime := d.k.core.Cordon(core.ServerID(id), out, within)
+	if known {
+		d.k.upgrade.pass(core.ServerID(id), out)
+	}
 	switch {
 	case !inTime:
 		return admin.ErrLate
@@ -232,27 +293,38 @@
 // that have no coordinator to go to, as the others may be starting anew just now, are served as ever.
 func (k *Coordinator) Shutdown() {
 	begun := time.Now()
-	k.log.Info("ending")
-	k.front.ready.Store(false)
+	handed := k.upgrade.handedOver()
+	k.log.Info("ending", "successor", handed)
+	k.ending.Store(true)
+	if !handed { // else the coordinator is there as ever, whichever process is asked
+		k.front.ready.Store(false)
+	}
 	var ends []ender
 	if k.server != nil {
 		ends = append(ends, platformEnd{k.server})
 	}
 	for _, x := range k.extras {
-		ends = append(ends, x)
+		if k.accepting.Load() {
+			ends = append(ends, x)
+		}
 	}
 	for _, x := range ends {
 		x.Retire()
 	}
+	answerOn, endingLimit := k.cfg.ending()
 	idle := k.core.Finish(begun.Add(answerOn))
-	time.Sleep(acceptOn)
-	for used := true; used && time.Since(begun) < serveOn; {
-		used = false
-		for _, x := range ends {
-			used = used || time.Since(x.LastRequest()) < quietOn
-		}
-		if used {
-			time.Sleep(quietOn / 10)
+	if handed {
+		k.lead(ends, begun.Add(answerOn-lastReply))
+	} else {
+		time.Sleep(acceptOn)
+		for used := true; used && time.Since(begun) < answerOn-serveLeast; {
+			used = false
+			for _, x := range ends {
+				used = used || time.Since(x.LastRequest()) < quietOn
+			}
+			if used {
+				time.Sleep(quietOn / 10)
+			}
 		}
 	}
 	for _, x := range ends {
@@ -271,6 +343,32 @@
 	k.log.Info("ended", "took", time.Since(begun))
 }
 
+// lead has clients go over to the successor: the next reply on a connection ends it. An idle one stays open up
+// to the time given, as a request may be on its way, and closing would cross it.
+func (k *Coordinator) lead(ends []ender, until time.Time) {
+	if k.peers != nil {
+		_ = k.peers.c.Close() // what comes now is for the successor
+	}
+	for _, x := range ends {
+		x.StopListening()
+		x.Wind()
+	}
+	for _, x := range ends {
+		x.Wait(max(0, time.Until(until)))
+	}
+}
+
+// ending is when all must be answered after SIGTERM, and when the program ends. It is killed after the longest
+// deadline, or 3 s where that is longer, and 0.7 s.
+func (c *Config) ending() (answerOn, limit time.Duration) {
+	longest := time.Duration(0)
+	for _, x := range c.Module.Classes {
+		longest = max(longest, time.Duration(x.Deadline)*time.Microsecond)
+	}
+	killed := min(longest, 3*time.Second) + 700*time.Millisecond
+	return killed - 500*time.Millisecond, killed - 200*time.Millisecond
+}
+
 // platformEnd is the platform's front as far as ending goes; /up says by itself that it is not ready.
 type platformEnd struct{ *lnet.Server }
 
@@ -284,8 +382,10 @@
 		k.server.StopListening()
 	}
 	for _, x := range k.extras {
-		x.Finish()
-		x.StopListening()
+		if k.accepting.Load() {
+			x.Finish()
+			x.StopListening()
+		}
 	}
 	k.halt()
 }
@@ -294,6 +394,7 @@
 func (k *Coordinator) halt() {
 	k.halted.Do(func() {
 		close(k.stop)
+		k.upgrade.close()
 		if k.door != nil {
 			k.door.Close()
 		}
@@ -314,6 +415,7 @@
 	fetch chan struct{}
 	move  chan string
 	stop  chan struct{}
+	whole chan struct{} // closed once discovery has given the whole list
 	seq   int64
 }
 
@@ -424,6 +526,13 @@
 	}
 	w.nodes.Learn(list.Hosts, list.Whole)
 	w.post(core.Listed{Mode: mode, Replicas: w.cfg.replicas(list.Hosts)})
+	if list.Whole {
+		select {
+		case <-w.whole:
+		default:
+			close(w.whole)
+		}
+	}
 }
 
 // watchCall is one call to discovery.
@@ -507,12 +616,9 @@
 	text string
 }
 
-func listenPeers(cfg *Config, log *slog.Logger, post func(core.Event)) (*peers, error) {
+func listenPeers(cfg *Config, log *slog.Logger, post func(core.Event), h *inheritance) (*peers, error) {
 	p := &peers{cfg: cfg, log: log, post: post, out: make(chan datagram, 64), from: map[string]uint32{}}
-	own, err := net.ResolveUDPAddr("udp", cfg.PeerListen)
-	if err != nil {
-		return nil, fmt.Errorf("peer_listen: %w", err)
-	}
+	var err error
 	for i, text := range cfg.Peers {
 		a, err := net.ResolveUDPAddr("udp", text)
 		if err != nil {
@@ -526,8 +632,16 @@
 			return nil, fmt.Errorf("peers_all: %w", err)
 		}
 	}
-	p.c, err = net.ListenUDP("udp", own)
-	return p, err
+	if h != nil && h.peers != nil {
+		p.c = h.peers
+		return p, nil
+	}
+	c, err := lnet.ListenPacket(cfg.PeerListen)
+	if err != nil {
+		return nil, fmt.Errorf("peer_listen: %w", err)
+	}
+	p.c = c
+	return p, nil
 }
 
 // Tell queues a datagram; where the queue is full it is lost, as any may be.
--- /dev/null
+++ b/internal/platform/upgrade.go
@@ -0,0 +1,482 @@
+package platform
+
+// The upgrade: a new process takes over from one that still serves, over a Unix socket in the platform's
+// temporary directory. This file owns the link between the two, what is said on it and how descriptors and
+// memory are shared out for that time. It must never hold a query's state or keep a process from serving:
+// whatever fails here is logged, and the coordinator starts or goes on without it.
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"lapislever/balance"
+	"lapislever/internal/core"
+	lnet "lapislever/internal/net"
+)
+
+const (
+	linkWait     = time.Second            // for the other side's first words
+	shareEvery   = 100 * time.Millisecond // between looks at what the old process still holds
+	listWait     = 2 * time.Second        // for discovery's list, before a successor serves by what it was told
+	endingSpare  = 8                      // descriptors that a process may always take
+	leastSockets = 20                     // of each of two processes, beside clients, nodes and operators
+	memoryPart   = 6                      // tenths of the memory that the heap may take
+)
+
+// word is one line on the link. The first one of each side is its greeting; the old process's carries the
+// sockets beside it.
+type word struct {
+	Listen  string                               `json:"listen,omitempty"`  // new: the addresses that it wants
+	Peers   string                               `json:"peers,omitempty"`   //
+	Sockets []string                             `json:"sockets,omitempty"` // old: the sockets that come along
+	Out     []balance.ReplicaID                  `json:"out,omitempty"`     // old: what operators have put out
+	Since   map[balance.ReplicaID]balance.Micros `json:"since,omitempty"`   // old: and back
+	Most    int                                  `json:"most,omitempty"`    // old: descriptors for the new one
+	Ready   bool                                 `json:"ready,omitempty"`   // new: it serves
+	Cordon  *cordonWord                          `json:"cordon,omitempty"`  // both: an operator's call
+}
+
+type cordonWord struct {
+	Server balance.ReplicaID `json:"server"`
+	Out    bool              `json:"out"`
+	At     balance.Micros    `json:"at"`
+}
+
+// link is one end of the connection between an old process and a new one.
+type link struct {
+	c   *net.UnixConn
+	in  *bufio.Reader
+	mu  sync.Mutex // guards writing
+	log *slog.Logger
+}
+
+func (l *link) say(w word) {
+	b, err := json.Marshal(w)
+	if err != nil {
+		l.log.Error("a word of the upgrade cannot be written", "err", err)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_ = l.c.SetWriteDeadline(time.Now().Add(linkWait))
+	if _, err := l.c.Write(append(b, '\n')); err != nil {
+		l.log.Warn("the other process of the upgrade does not listen", "err", err)
+	}
+}
+
+// hear reads words until the other side is gone.
+func (l *link) hear(f func(word)) {
+	for {
+		w, err := l.next()
+		if err != nil {
+			if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
+				l.log.Warn("the link of the upgrade ended", "err", err)
+			}
+			return
+		}
+		f(w)
+	}
+}
+
+func (l *link) next() (w word, err error) {
+	line, err := l.in.ReadBytes('\n')
+	if err != nil {
+		return w, err
+	}
+	return w, json.Unmarshal(line, &w)
+}
+
+// socketPath is where the process that serves an address can be asked for its sockets; empty: nowhere.
+func socketPath(cfg *Config) string {
+	if cfg.TempDir == "" || cfg.Listen == "" || strings.HasSuffix(cfg.Listen, ":0") {
+		return ""
+	}
+	return filepath.Join(cfg.TempDir, "lapislever-"+strings.NewReplacer(":", "-", "/", "-").Replace(cfg.Listen)+
+		".sock")
+}
+
+// inheritance is what a new process gets from the one that it takes over from.
+type inheritance struct {
+	link     *link
+	greeting word
+	listener net.Listener
+	peers    *net.UDPConn
+}
+
+// inherit asks the process that serves, if there is one, for its sockets. A socket file that nobody listens at
+// is left over from one that died; it says nothing.
+func inherit(cfg *Config, log *slog.Logger) *inheritance {
+	path := socketPath(cfg)
+	if path == "" {
+		return nil
+	}
+	if _, err := os.Lstat(path); errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	c, err := net.DialTimeout("unix", path, linkWait)
+	if err != nil {
+		log.Info("no process to take over from", "err", err)
+		return nil
+	}
+	h := &inheritance{link: &link{c: c.(*net.UnixConn), log: log}}
+	if err := h.receive(cfg); err != nil {
+		log.Warn("nothing taken over: starting beside the old process", "err", err)
+		h.drop()
+		return nil
+	}
+	log.Info("taking over", "sockets", h.greeting.Sockets, "out", len(h.greeting.Out), "most", h.greeting.Most)
+	return h
+}
+
+// receive says who asks and takes the old process's greeting with the sockets.
+func (h *inheritance) receive(cfg *Config) error {
+	h.link.say(word{Listen: cfg.Listen, Peers: cfg.PeerListen})
+	_ = h.link.c.SetReadDeadline(time.Now().Add(linkWait))
+	text, oob := make([]byte, 4096), make([]byte, unix.CmsgSpace(2*4))
+	n, oobn, _, _, err := h.link.c.ReadMsgUnix(text, oob)
+	if err != nil {
+		return err
+	}
+	h.link.in = bufio.NewReader(io.MultiReader(strings.NewReader(string(text[:n])), h.link.c))
+	files, err := received(oob[:oobn])
+	defer func() {
+		for _, f := range files {
+			_ = f.Close()
+		}
+	}()
+	if err != nil {
+		return err
+	}
+	if h.greeting, err = h.link.next(); err != nil {
+		return err
+	}
+	_ = h.link.c.SetReadDeadline(time.Time{})
+	if len(files) != len(h.greeting.Sockets) {
+		return fmt.Errorf("%d sockets came, not %d", len(files), len(h.greeting.Sockets))
+	}
+	for i, what := range h.greeting.Sockets {
+		switch what {
+		case "listen":
+			if h.listener, err = net.FileListener(files[i]); err != nil {
+				return err
+			}
+		case "peers":
+			p, err := net.FilePacketConn(files[i])
+			if err != nil {
+				return err
+			}
+			if u, ok := p.(*net.UDPConn); ok {
+				h.peers = u
+			} else {
+				_ = p.Close()
+			}
+		}
+	}
+	if h.listener == nil {
+		return errors.New("no listener came")
+	}
+	return nil
+}
+
+// received are the files that came beside a message.
+func received(oob []byte) (files []*os.File, err error) {
+	msgs, err := unix.ParseSocketControlMessage(oob)
+	if err != nil {
+		return nil, err
+	}
+	for i := range msgs {
+		fds, err := unix.ParseUnixRights(&msgs[i])
+		if err != nil {
+			return files, err
+		}
+		for _, fd := range fds {
+			unix.CloseOnExec(fd)
+			files = append(files, os.NewFile(uintptr(fd), "inherited"))
+		}
+	}
+	return files, nil
+}
+
+// drop gives back what was inherited, where nothing comes of it.
+func (h *inheritance) drop() {
+	if h.listener != nil {
+		_ = h.listener.Close()
+	}
+	if h.peers != nil {
+		_ = h.peers.Close()
+	}
+	_ = h.link.c.Close()
+}
+
+// upgrade is a coordinator's part in taking over and in being taken over from.
+type upgrade struct {
+	k      *Coordinator
+	path   string
+	budget *lnet.Budget
+	all    int // descriptors for clients and nodes, while there is one process
+
+	mu        sync.Mutex // guards all below
+	asked     *net.UnixListener
+	old       *link // while this process takes over
+	successor *link // while another one takes over from this one
+	serves    bool  // the successor does
+	closed    bool
+}
+
+// shared is what two processes may take together for clients and nodes.
+func (u *upgrade) shared() int {
+	return max(4*endingSpare, u.k.cfg.Limits.Sockets-2*(leastSockets+u.k.doorSockets()))
+}
+
+// limit bounds this process's descriptors and, while there are two, its memory.
+func (u *upgrade) limit(most int, alone bool) {
+	u.budget.Limit(most, most/nodeShare)
+	part := int64(u.k.cfg.Limits.MemoryMB) << 20 * memoryPart / 10
+	if !alone {
+		part /= 2
+	}
+	debug.SetMemoryLimit(part)
+}
+
+// open lets a successor ask for the sockets. It replaces whatever is there: the last process that serves is the
+// one to ask.
+func (u *upgrade) open() {
+	if u.path == "" {
+		return
+	}
+	temp := fmt.Sprintf("%s.%d", u.path, os.Getpid())
+	_ = os.Remove(temp)
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: temp, Net: "unix"})
+	if err == nil {
+		l.SetUnlinkOnClose(false)
+		if err = os.Rename(temp, u.path); err != nil {
+			_ = l.Close()
+		}
+	}
+	if err != nil {
+		_ = os.Remove(temp)
+		u.k.log.Info("no upgrade without a pause: the socket for it is refused", "err", err)
+		return
+	}
+	u.mu.Lock()
+	if u.closed {
+		_ = l.Close()
+	}
+	u.asked = l
+	u.mu.Unlock()
+	for {
+		c, err := l.AcceptUnix()
+		if err != nil {
+			return
+		}
+		u.handOver(&link{c: c, in: bufio.NewReader(c), log: u.k.log})
+	}
+}
+
+// close ends this process's part.
+func (u *upgrade) close() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.closed = true
+	if u.asked != nil {
+		_ = u.asked.Close()
+	}
+	for _, l := range []*link{u.old, u.successor} {
+		if l != nil {
+			_ = l.c.Close()
+		}
+	}
+}
+
+// handOver serves one successor, until it is gone or this process is.
+func (u *upgrade) handOver(l *link) {
+	defer func() { _ = l.c.Close() }()
+	_ = l.c.SetReadDeadline(time.Now().Add(linkWait))
+	w, err := l.next()
+	if err != nil || w.Listen != u.k.cfg.Listen || w.Peers != u.k.cfg.PeerListen {
+		u.k.log.Warn("a process that asks for the sockets is no successor", "listen", w.Listen, "err", err)
+		return
+	}
+	_ = l.c.SetReadDeadline(time.Time{})
+	said, ok := u.k.core.Cordoned(linkWait / 2)
+	if !ok {
+		u.k.log.Warn("a successor came while the core is busy")
+		return
+	}
+	mine := u.shared() / 2
+	u.limit(mine, false)
+	for u.budget.Used() > mine && u.k.server.MakeWay() {
+	}
+	if err := u.greet(l, word{Out: said.Out, Since: said.Since, Most: u.rest(mine)}); err != nil {
+		u.k.log.Warn("the sockets could not be handed over", "err", err)
+		u.limit(u.all, true)
+		return
+	}
+	u.mu.Lock()
+	u.successor = l
+	u.mu.Unlock()
+	u.k.log.Info("a successor takes over")
+	over := make(chan struct{})
+	go u.shareOut(l, mine, over)
+	l.hear(func(w word) {
+		if w.Ready {
+			u.mu.Lock()
+			u.serves = true
+			u.mu.Unlock()
+			u.k.log.Info("the successor serves")
+		}
+		u.obey(w)
+	})
+	close(over)
+	u.mu.Lock()
+	u.successor, u.serves = nil, false
+	again := !u.closed
+	if again {
+		_ = u.asked.Close()
+	}
+	u.mu.Unlock()
+	if again { // it is this process again that is to be asked
+		u.k.log.Warn("the successor is gone")
+		u.limit(u.all, true)
+		go u.open()
+	}
+}
+
+// shareOut gives the successor what this process does not hold any more, as it ends.
+func (u *upgrade) shareOut(l *link, mine int, over <-chan struct{}) {
+	tick := time.NewTicker(shareEvery)
+	defer tick.Stop()
+	for told := 0; ; {
+		select {
+		case <-over:
+			return
+		case <-tick.C:
+		}
+		if u.k.ending.Load() {
+			mine = min(mine, u.budget.Used()+endingSpare)
+			u.limit(mine, false)
+		}
+		if most := u.rest(mine); most != told {
+			told = most
+			l.say(word{Most: most})
+		}
+	}
+}
+
+// rest is what the successor may take: what this process neither holds nor may.
+func (u *upgrade) rest(mine int) int { return max(endingSpare, u.shared()-max(mine, u.budget.Used())) }
+
+// greet sends the greeting with the sockets beside it. Their modes stay as they are: both processes poll them.
+func (u *upgrade) greet(l *link, w word) error {
+	send := func(fds ...int) error {
+		b, err := json.Marshal(w)
+		if err != nil {
+			return err
+		}
+		b = append(b, '\n')
+		_ = l.c.SetWriteDeadline(time.Now().Add(linkWait))
+		n, _, err := l.c.WriteMsgUnix(b, unix.UnixRights(fds...), nil)
+		if err == nil && n < len(b) {
+			_, err = l.c.Write(b[n:])
+		}
+		return err
+	}
+	return withFD(u.k.server.Listener(), func(listener int) error {
+		w.Sockets = []string{"listen"}
+		if u.k.peers == nil {
+			return send(listener)
+		}
+		w.Sockets = append(w.Sockets, "peers")
+		return withFD(u.k.peers.c, func(peers int) error { return send(listener, peers) })
+	})
+}
+
+// withFD calls f with a socket's descriptor, which stays open for as long as f runs.
+func withFD(sock any, f func(fd int) error) error {
+	c, ok := sock.(syscall.Conn)
+	if !ok {
+		return errors.New("no socket to hand over")
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	if cerr := raw.Control(func(fd uintptr) { err = f(int(fd)) }); cerr != nil {
+		return cerr
+	}
+	return err
+}
+
+// follow is a new process's side from the greeting on: it hears the old process until that is gone.
+func (u *upgrade) follow(h *inheritance) {
+	u.mu.Lock()
+	u.old = h.link
+	u.mu.Unlock()
+	u.limit(h.greeting.Most, false)
+	go func() {
+		h.link.hear(func(w word) {
+			if w.Most > 0 {
+				u.limit(w.Most, false)
+			}
+			u.obey(w)
+		})
+		_ = h.link.c.Close()
+		u.mu.Lock()
+		u.old = nil
+		u.mu.Unlock()
+		u.limit(u.all, true)
+		u.k.log.Info("the old process is gone")
+	}()
+}
+
+// ready tells the old process that this one serves, and takes its place as the one to ask.
+func (u *upgrade) ready() {
+	u.mu.Lock()
+	old := u.old
+	u.mu.Unlock()
+	go u.open()
+	if old != nil {
+		old.say(word{Ready: true})
+	}
+}
+
+// obey carries out an operator's call that the other process has had.
+func (u *upgrade) obey(w word) {
+	if c := w.Cordon; c != nil {
+		u.k.core.Post(core.Cordon{Server: c.Server, Out: c.Out, At: c.At, Sure: true})
+	}
+}
+
+// pass tells the other process, if there is one, of an operator's call.
+func (u *upgrade) pass(id balance.ReplicaID, out bool) {
+	u.mu.Lock()
+	links := [2]*link{u.old, u.successor}
+	u.mu.Unlock()
+	for _, l := range links {
+		if l != nil {
+			l.say(word{Cordon: &cordonWord{Server: id, Out: out, At: time.Now().UnixMicro()}})
+		}
+	}
+}
+
+// handedOver tells that a successor serves.
+func (u *upgrade) handedOver() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.serves
+}
--- /dev/null
+++ b/internal/platform/upgrade_test.go
@@ -0,0 +1,192 @@
+package platform
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	lnet "lapislever/internal/net"
+	"lapislever/internal/standin"
+)
+
+// together makes a configuration of a coordinator that may be upgraded: an address of its own and a place for
+// both processes to meet.
+func together(t *testing.T, c *Config) *Config {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Listen = l.Addr().String()
+	_ = l.Close()
+	c.TempDir = t.TempDir()
+	return c
+}
+
+// kept asks on a connection that stays, and tells whether it may be used again.
+func kept(t *testing.T, c *lnet.Client, name string) bool {
+	t.Helper()
+	r, err := c.Do("POST", "/rate-check", "x", [][2]string{{"X-Call-Id", name}},
+		[]byte(`{"slices":[{"slice":0,"mass":1}],"filter":"f"}`), time.Now().Add(20*time.Second))
+	if err != nil || r.Status != 200 {
+		t.Fatalf("%s: %v %v", name, r, err)
+	}
+	return c.Sound()
+}
+
+// A new process takes the address over while clients come: nobody is turned away, a connection to the old
+// process is served once more and then ended, and what operators said holds in both.
+func TestSuccessorTakesOver(t *testing.T) {
+	a, b := standin.NewNode(t, ok), standin.NewNode(t, ok)
+	d := newDiscovery(t, hostAt("a", a.Addr, 0), hostAt("b", b.Addr, 0))
+	cfg := together(t, door(t, d))
+	cfg.PeerListen, cfg.Peers = "127.0.0.1:0", []string{"127.0.0.1:1", "127.0.0.1:2"}
+	old := run(t, cfg)
+	standin.Until(t, "the socket to ask at", func() bool {
+		_, err := os.Lstat(socketPath(cfg))
+		return err == nil
+	})
+	say := func(k *Coordinator, name string) {
+		t.Helper()
+		if r := standin.Call(t, k.Door(), "POST", "/admin/"+name, nil, "a"); r.Status != 200 {
+			t.Fatalf("%s: %d %s", name, r.Status, r.Body)
+		}
+	}
+	say(old, "cordon")
+	before := len(a.Parts())
+	c, err := lnet.Dial(cfg.Listen, time.Second, 1<<10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	kept(t, c, "first")
+
+	now := *cfg
+	fresh, err := Start(&now, standin.Quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(fresh.Close)
+	standin.Until(t, "the yes", func() bool {
+		return standin.Call(t, fresh.Door(), "GET", "/admin/health", nil, "").Status == 200
+	})
+	standin.Until(t, "its word to the old one", old.upgrade.handedOver)
+	if fresh.peers.c.LocalAddr().String() != old.peers.c.LocalAddr().String() {
+		t.Error("datagrams come to another address")
+	}
+	ended := make(chan struct{})
+	go func() { old.Shutdown(); close(ended) }()
+	standin.Until(t, "the end of the old process's yes", func() bool { return old.ending.Load() })
+	if r := standin.Call(t, old.Door(), "GET", "/admin/health", nil, ""); r.Status != 503 {
+		t.Errorf("the old process says %d", r.Status)
+	}
+	for range 20 {
+		if r := post(t, fresh, "rate-check", 0); r.Status != 200 {
+			t.Fatalf("%d %s", r.Status, r.Body)
+		}
+		if r := standin.Call(t, cfg.Listen, "GET", "/up", nil, ""); r.Status != 200 {
+			t.Fatalf("/up says %d", r.Status)
+		}
+	}
+	if n := len(a.Parts()) - before; n != 0 {
+		t.Fatalf("%d parts went to a node that is out", n)
+	}
+	if kept(t, c, "second") {
+		t.Error("a connection to the old process goes on")
+	}
+	say(old, "uncordon")
+	standin.Until(t, "the call at the old process to hold in the new one", func() bool {
+		post(t, fresh, "rate-check", 0)
+		return len(a.Parts()) > before
+	})
+	<-ended
+
+	last := *cfg // and the next one asks the one that serves now
+	if h := inherit(&last, standin.Quiet()); h == nil {
+		t.Fatal("nobody to take over from")
+	} else {
+		h.drop()
+	}
+	standin.Until(t, "the socket again, as that successor is gone", func() bool {
+		h := inherit(&last, standin.Quiet())
+		if h != nil {
+			h.drop()
+		}
+		return h != nil
+	})
+}
+
+// Descriptors are shared out: two processes never hold more than one may, and what the old one gives up is the
+// new one's, in full once it is alone.
+func TestDescriptorsAreSharedOut(t *testing.T) {
+	cfg := together(t, config(t, newDiscovery(t, hostAt("a", "127.0.0.1:1", 0))))
+	old := run(t, cfg)
+	standin.Until(t, "the socket to ask at", func() bool {
+		_, err := os.Lstat(socketPath(cfg))
+		return err == nil
+	})
+	u := old.upgrade
+	whole := u.all
+	now := *cfg
+	fresh, err := Start(&now, standin.Quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(fresh.Close)
+	standin.Until(t, "its word to the old one", u.handedOver)
+	if sum := u.budget.Most() + fresh.upgrade.budget.Most() + 2*leastSockets; sum > cfg.Limits.Sockets {
+		t.Errorf("%d descriptors together, of %d", sum, cfg.Limits.Sockets)
+	}
+	old.Shutdown()
+	standin.Until(t, "all for one", func() bool { return fresh.upgrade.budget.Most() == whole })
+}
+
+// Where there is nobody to take over from, or no place to meet, a coordinator starts and serves all the same.
+func TestNoSuccessionIsHarmless(t *testing.T) {
+	n := standin.NewNode(t, ok)
+	for name, spoil := range map[string]func(cfg *Config) error{
+		"no place": func(cfg *Config) error { cfg.TempDir = filepath.Join(cfg.TempDir, "none"); return nil },
+		"left over": func(cfg *Config) error {
+			l, err := net.ListenUnix("unix", &net.UnixAddr{Name: socketPath(cfg), Net: "unix"})
+			if err != nil {
+				return err
+			}
+			l.SetUnlinkOnClose(false)
+			return l.Close()
+		},
+		"mute": func(cfg *Config) error {
+			l, err := net.Listen("unix", socketPath(cfg))
+			if err == nil {
+				t.Cleanup(func() { _ = l.Close() })
+			}
+			return err
+		},
+		"no word": func(cfg *Config) error {
+			l, err := net.Listen("unix", socketPath(cfg))
+			if err != nil {
+				return err
+			}
+			t.Cleanup(func() { _ = l.Close() })
+			go func() {
+				if c, err := l.Accept(); err == nil {
+					fmt.Fprintln(c, "not a word")
+				}
+			}()
+			return nil
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cfg := together(t, config(t, newDiscovery(t, hostAt("a", n.Addr, 0))))
+			if err := spoil(cfg); err != nil {
+				t.Fatal(err)
+			}
+			k := run(t, cfg)
+			if r := post(t, k, "rate-check", 0); r.Status != 200 {
+				t.Fatalf("%d", r.Status)
+			}
+		})
+	}
+}
--- a/internal/promql/front.go
+++ b/internal/promql/front.go
@@ -262,6 +262,9 @@
 // LastRequest is when a request last came.
 func (f *Front) LastRequest() time.Time { return f.listener.LastRequest() }
 
+// Wind has replies end their connections from now on.
+func (f *Front) Wind() { f.listener.Wind() }
+
 // Finish lets every reply end its connection.
 func (f *Front) Finish() { f.listener.Finish() }
 
