Take new settings at SIGHUP, whole or not at all, and keep open queries' rules

The module takes the settings by one event (balance/state.go, adopt); each query holds its class's rules and number of attempts from its beginning (query.rules, query.most). Classes keep their places by name, so open queries and records need no renumbering; a dropped one sets no scale any more. Whether a file is whole is judged against the file of the start, key by key and kind by kind (config.go, lacking): Parse fills gaps from the environment and from defaults, so at a reload half a file passed. For 1.5 s after a change a request is held to the stricter of old and new rules unless its key tells by which it was asked (Config.bind); clients get 1.2 s to hear of the change, and the order of both is not known here. While two processes serve in an upgrade each has half of what a cold node may be given, by the same event. The range-query front hears of its class's rules, and refuses while that class is dropped or not safe.

--- a/balance/api.go
+++ b/balance/api.go
@@ -36,6 +36,7 @@
 	Floor      float64 // least share for any answer
 	Partial    float64 // share of the worth that an answer earns which is not whole, times its share / Need
 	SecondStep int     // parts of a second step; 0 for one step only
+	Dropped    bool    // not asked for any more: it keeps its place, and no scale is taken from it
 }
 
 // Tenant is one of those who share the service.
@@ -189,6 +190,7 @@
 	Message                      // From, Data: from a peer
 	Awake                        // a wake-up that was asked for
 	Ending                       // Deadline: this instance ends then, and holds no query beyond it
+	Changed                      // Settings: the new ones; classes keep their places, and none goes
 )
 
 // Event is something that happened to this instance.
@@ -204,6 +206,8 @@
 	Key      uint64
 	Deadline Micros // when the client abandons this try
 	Repeat   bool   // of a Query: marked by its client as asked before
+	Rules    *Class // of a Query: what binds it where that is not its class; nil: the class
+	Most     int    // of a Query: attempts for one of its parts where that differs from the settings; 0: it does not
 	Attempt  int
 	Closed   bool
 	Outcome  Outcome
@@ -214,6 +218,7 @@
 	Replicas []Replica
 	From     uint32
 	Data     []byte
+	Settings *Settings
 }
 
 // ActionKind tells which fields of an Action count.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -98,20 +98,11 @@
 		return nil, err
 	}
 	b := &Balancer{
-		s: s, rng: rand.New(rand.NewPCG(seed, 0x736f7272656c)),
-		byID: map[ReplicaID]*replica{}, byHash: map[uint32]*replica{}, cells: make([][]*replica, s.Cells),
+		rng:  rand.New(rand.NewPCG(seed, 0x736f7272656c)),
+		byID: map[ReplicaID]*replica{}, byHash: map[uint32]*replica{},
 		byQuery: map[uint32]*query{}, byNumber: map[float32]*query{}, parts: map[uint32]*part{},
-		minAim: math.Inf(1),
-	}
-	b.s.BatchMax = max(1, s.BatchMax)
-	for _, c := range s.Classes {
-		b.minAim = min(b.minAim, float64(c.Aim))
-		b.classes = append(b.classes, class{delay: firstDelayShare * float64(c.Aim)})
-	}
-	b.tenants = make([]window, len(s.Tenants))
-	if b.span = s.ResendSpan; b.span == 0 {
-		b.span = copySpan
 	}
+	b.adopt(&s)
 	return b, nil
 }
 
@@ -153,8 +144,15 @@
 		if e.Tenant >= 0 && e.Tenant < len(b.tenants) {
 			b.tenants[e.Tenant].add(b.now)
 		}
-		c := &b.s.Classes[e.Class]
-		q := &query{id: e.ID, number: e.Number, class: e.Class, tenant: e.Tenant, deadline: e.Deadline}
+		q := &query{id: e.ID, number: e.Number, class: e.Class, tenant: e.Tenant, deadline: e.Deadline,
+			rules: &b.s.Classes[e.Class], most: b.s.MaxAttempts}
+		if e.Rules != nil {
+			q.rules = e.Rules
+		}
+		if e.Most > 0 {
+			q.most = e.Most
+		}
+		c := q.rules
 		q.aim = b.now + Micros((1-aimMargin)*(float64(c.Aim)+c.AimStretch*float64(e.Hint)))
 		q.aim = min(q.aim, e.Deadline)
 		b.age(q, e.Repeat || !b.s.MarksRepeat)
@@ -190,6 +188,10 @@
 		b.probeEnd(e)
 	case Message:
 		b.hear(e.Data)
+	case Changed:
+		if e.Settings.check() == nil && len(e.Settings.Classes) >= len(b.classes) {
+			b.adopt(e.Settings)
+		}
 	case Ending:
 		b.until = max(1, e.Deadline)
 		for _, q := range b.queries {
@@ -210,7 +212,7 @@
 // Clients wait the same share of a class's time for each try, or what is left of it: who waits less began
 // earlier.
 func (b *Balancer) age(q *query, repeat bool) {
-	c := &b.s.Classes[q.class]
+	c := q.rules
 	left := q.deadline - b.now
 	b.patience = min(1, max(b.patience, float64(left)/float64(c.Deadline)))
 	if !repeat || float64(left) > b.patience*float64(c.Deadline)-patienceSlack {
@@ -445,7 +447,7 @@
 		} else {
 			c.delay *= 1 - quantileGain*(1-delayQuantile)
 		}
-		c.delay = min(c.delay, maxDelayShare*float64(b.s.Classes[p.q.class].Aim))
+		c.delay = min(c.delay, maxDelayShare*float64(p.q.rules.Aim))
 		b.saw(r, p.q.class, age/t.load())
 		b.beside += (float64(t.call.sent-1) - b.beside) / paceParts
 		if !t.overdue {
@@ -518,7 +520,7 @@
 
 // shares returns what a whole answer and any answer need in the present step.
 func (b *Balancer) shares(q *query) (need, floor float64) {
-	c := &b.s.Classes[q.class]
+	c := q.rules
 	need, floor = c.Need, c.Floor
 	if q.second {
 		if floor >= need {
@@ -534,7 +536,7 @@
 	need, _ := b.shares(q)
 	whole := q.got >= need && (!q.second || q.whole && q.in == len(q.parts))
 	b.out = append(b.out, Action{Kind: Answer, ID: q.id, Whole: whole})
-	if b.s.Classes[q.class].SecondStep > 0 && !q.second {
+	if q.rules.SecondStep > 0 && !q.second {
 		b.close(q)
 		q.second, q.whole, q.got, q.in = true, whole, 0, 0
 		return
@@ -552,7 +554,7 @@
 			return
 		}
 	}
-	safe := b.s.Classes[q.class].Effect == Safe
+	safe := q.rules.Effect == Safe
 	if !safe && !q.second {
 		safe = true
 		for _, p := range q.parts {
@@ -601,7 +603,7 @@
 	b.mark(q)
 	hope, under := 0.0, 0.0 // weight that can still come in, and that is in or well under way
 	for _, p := range q.parts {
-		if p.done || p.live > 0 || len(p.tries) < b.s.MaxAttempts && b.mayRepeat(p) {
+		if p.done || p.live > 0 || len(p.tries) < q.most && b.mayRepeat(p) {
 			hope += p.weight
 		}
 		if p.done || b.sound(p, need < 1-2*tolerance) {
@@ -623,7 +625,7 @@
 			if pass == 0 && need < 1-2*tolerance && !b.roomy(p) {
 				continue // where not every part is needed, those with a free replica go first
 			}
-			if len(p.tries) < b.s.MaxAttempts && b.mayRepeat(p) && b.send(p, false) {
+			if len(p.tries) < q.most && b.mayRepeat(p) && b.send(p, false) {
 				under += p.weight
 			}
 		}
@@ -638,7 +640,7 @@
 // partialAt is when a query is answered from less than the whole. A first step leaves the second time for a
 // part and its copy: begun at the aim it would fail, and take what the first step earned with it.
 func (b *Balancer) partialAt(q *query) Micros {
-	if c := &b.s.Classes[q.class]; c.SecondStep > 0 && !q.second {
+	if c := q.rules; c.SecondStep > 0 && !q.second {
 		return q.aim - Micros(min(stepShare*float64(c.Aim), stepDelays*b.classes[q.class].delay))
 	}
 	return q.aim
@@ -649,7 +651,7 @@
 // too.
 func (b *Balancer) worthLate(q *query, floor float64) bool {
 	lacks := max(1, (floor-q.got)*float64(len(q.parts)))
-	return b.s.Classes[q.class].LateWorth*b.value(q)*b.classes[q.class].work >= lacks
+	return q.rules.LateWorth*b.value(q)*b.classes[q.class].work >= lacks
 }
 
 // admit tells whether a query is to be tried. In overload this keeps queues short: work that cannot earn is
@@ -670,7 +672,7 @@
 		}
 	}
 	if float64(len(waits)) < floor*float64(len(q.parts)) || len(waits) == 0 ||
-		q.late && b.s.Classes[q.class].LateWorth <= 0 {
+		q.late && q.rules.LateWorth <= 0 {
 		return false
 	}
 	slices.Sort(waits)
@@ -683,7 +685,7 @@
 	// Two limits: queues are kept short against the classes' own aims, and a client that waits less than that
 	// is turned away only where it would hardly be served in its time.
 	left := float64(q.aim - b.now)
-	own := max(left, min(b.minAim, float64(b.s.Classes[q.class].Aim)))
+	own := max(left, min(b.minAim, float64(q.rules.Aim)))
 	limit := min(share*min(b.minAim, own), admitTail*share*own/(1+tail))
 	last := waits[min(len(waits)-1, int(floor*float64(len(waits))))] // it may be at a hot shard
 	return wait <= hopeShare*left &&
@@ -694,11 +696,15 @@
 func (b *Balancer) value(q *query) float64 {
 	best, own := 1e-9, 0.0
 	for i := range b.s.Classes {
-		v := b.s.Classes[i].Worth
+		c := &b.s.Classes[i]
+		if i == q.class {
+			c = q.rules
+		}
+		v := c.Worth
 		if !b.s.WorthByWork {
 			v /= max(1, b.classes[i].work)
 		}
-		if i == q.class || b.s.WorthByWork || b.classes[i].work > 0 { // else its parts are not known yet
+		if i == q.class || !c.Dropped && (b.s.WorthByWork || b.classes[i].work > 0) { // else its parts are not known yet
 			best = max(best, v)
 		}
 		if i == q.class {
@@ -709,7 +715,7 @@
 		own *= b.s.OverShareWorth
 	}
 	if q.late {
-		own *= b.s.Classes[q.class].LateWorth
+		own *= q.rules.LateWorth
 	}
 	return own / best
 }
@@ -747,7 +753,7 @@
 // mark finds the attempts that are overdue and counts each as a time-out at once: a replica that takes
 // parts and answers none would else be found only at the deadline.
 func (b *Balancer) mark(q *query) {
-	limit := min(overdueFactor*b.classes[q.class].delay, overdueShare*float64(b.s.Classes[q.class].Aim))
+	limit := min(overdueFactor*b.classes[q.class].delay, overdueShare*float64(q.rules.Aim))
 	for _, p := range q.parts {
 		for i := range p.tries {
 			t := &p.tries[i]
@@ -767,7 +773,7 @@
 
 // mayRepeat tells whether the class allows another attempt of a part.
 func (b *Balancer) mayRepeat(p *part) bool {
-	c := &b.s.Classes[p.q.class]
+	c := p.q.rules
 	if p.ran == 0 || c.Effect == Safe {
 		return true
 	}
@@ -778,8 +784,8 @@
 func (b *Balancer) hedge(p *part) {
 	q := p.q
 	last := p.tries[len(p.tries)-1]
-	if !b.s.CanCopy || q.began || b.s.Classes[q.class].Effect == Unsafe || !b.mayRepeat(p) ||
-		p.live >= maxInFlight || len(p.tries) >= b.s.MaxAttempts ||
+	if !b.s.CanCopy || q.began || q.rules.Effect == Unsafe || !b.mayRepeat(p) ||
+		p.live >= maxInFlight || len(p.tries) >= q.most ||
 		float64(b.now-last.sent) < b.classes[q.class].delay {
 		return
 	}
@@ -845,7 +851,7 @@
 		p.ran = b.now
 	}
 	until := p.q.aim
-	if c := &b.s.Classes[p.q.class]; b.now+Micros(c.LateWorth*float64(c.Aim)) > until {
+	if c := p.q.rules; b.now+Micros(c.LateWorth*float64(c.Aim)) > until {
 		until = min(p.q.deadline, b.now+c.Aim)
 	}
 	b.out = append(b.out, Action{Kind: Send, ID: p.id, Replica: r.ID, After: max(until-b.now, sweep)})
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -380,3 +380,45 @@
 		}
 	}
 }
+
+// New settings bind what comes after them: a query that is open keeps its class's rules and its number of
+// attempts, a class that comes has records of its own, and one that is dropped sets no scale any more.
+func TestChangedSettingsBindNewQueriesOnly(t *testing.T) {
+	k := start(t, settings(), ready(4)...)
+	open := k.query(0, 1)
+	first := one(t, Send, k.out)
+	s := settings()
+	s.MaxAttempts = 1
+	s.Classes = append([]Class(nil), s.Classes...)
+	s.Classes[0].Effect, s.Classes[0].Dropped = Unsafe, true
+	s.Classes = append(s.Classes, Class{Aim: 400 * ms, Deadline: 800 * ms, Worth: 1, Need: 1, Floor: 1})
+	k.step(Event{Kind: Changed, Settings: &s})
+	if k.b.minAim != float64(400*ms) {
+		t.Errorf("the scale is %.0f us", k.b.minAim)
+	}
+	second := k.query(1, 1)
+	sent := one(t, Send, k.out)
+	if got := of(Send, k.result(open+1, 0, first.Replica, Error)); len(got) != 1 {
+		t.Errorf("an open query may not be tried again: %+v", got)
+	}
+	if got := k.result(second+1, 0, sent.Replica, Error); len(of(Send, got)) != 0 || len(of(Refuse, got)) != 1 {
+		t.Errorf("one attempt is all that a new query has: %+v", got)
+	}
+	s.MaxAttempts = 0
+	k.step(Event{Kind: Changed, Settings: &s})
+	if k.b.s.MaxAttempts != 1 {
+		t.Error("settings that cannot be were taken")
+	}
+}
+
+// A query may be bound by rules that differ from its class's, while it is not known by which it was asked.
+func TestQueryWithRulesOfItsOwn(t *testing.T) {
+	k := start(t, settings(), ready(4)...)
+	rules := settings().Classes[0]
+	rules.Effect = Unsafe
+	sends := of(Send, k.step(Event{Kind: Query, ID: 1, Number: 1, Weight: 1, Deadline: k.now + 3000*ms, Rules: &rules},
+		Event{Kind: Part, ID: 2, Number: 1, Weight: 1, Deadline: k.now + 3000*ms}))
+	if got := k.result(2, 0, sends[0].Replica, Error); len(of(Fail, got)) != 1 {
+		t.Fatalf("what may have run is tried again or refused: %+v", got)
+	}
+}
--- a/balance/call_test.go
+++ b/balance/call_test.go
@@ -83,7 +83,7 @@
 	s.Classes[1].Worth = 3
 	k := start(t, s, ready(3)...)
 	k.query(0, 20)
-	if v := k.b.value(&query{class: 0, tenant: -1}); v < 0.99 {
+	if v := k.b.value(&query{rules: &k.b.s.Classes[0], class: 0, tenant: -1}); v < 0.99 {
 		t.Fatalf("value %v of the only class met", v)
 	}
 }
--- a/balance/guards_test.go
+++ b/balance/guards_test.go
@@ -43,14 +43,19 @@
 	s.Classes[1].Worth = 2
 	s.Tenants = []Tenant{{Quota: 1}, {Quota: 1000}}
 	k := start(t, s, ready(1)...)
-	if low, high := k.b.value(&query{class: 0, tenant: 1}), k.b.value(&query{class: 1, tenant: 1}); low >= high {
+	rules := k.b.s.Classes
+	low, high := k.b.value(&query{rules: &rules[0], class: 0, tenant: 1}),
+		k.b.value(&query{rules: &rules[1], class: 1, tenant: 1})
+	if low >= high {
 		t.Fatalf("value %v of the class of less worth, %v of the other", low, high)
 	}
 	for range 20 {
 		k.step(Event{Kind: Query, ID: 5000 + k.ids, Number: 5000 + float32(k.ids), Tenant: 0, Deadline: k.now})
 		k.ids++
 	}
-	if over, under := k.b.value(&query{class: 1}), k.b.value(&query{class: 1, tenant: 1}); over >= under {
+	over, under := k.b.value(&query{rules: &rules[1], class: 1}),
+		k.b.value(&query{rules: &rules[1], class: 1, tenant: 1})
+	if over >= under {
 		t.Fatalf("value %v beyond the quota, %v within", over, under)
 	}
 }
@@ -236,7 +241,7 @@
 	}
 	for range 20 {
 		k.b.adjust(r, 0)
-		k.b.settle(&part{q: &query{}, live: 1}, &attempt{r: r, call: &call{live: 1}, sent: k.now},
+		k.b.settle(&part{q: &query{rules: &k.b.s.Classes[0]}, live: 1}, &attempt{r: r, call: &call{live: 1}, sent: k.now},
 			&Event{Kind: Result, Outcome: Spoilt})
 	}
 	if r.weight > midWeight/4 {
--- a/balance/state.go
+++ b/balance/state.go
@@ -106,6 +106,8 @@
 	id       uint32
 	number   float32
 	class    int
+	rules    *Class // that it began with; what is changed later binds later queries
+	most     int    // attempts for one part
 	tenant   int
 	aim      Micros
 	deadline Micros
@@ -233,6 +235,32 @@
 	q.parts = nil
 }
 
+// adopt takes settings in. Classes keep their places; the records of new ones begin anew. What is open holds
+// on to the rules that it began with, which stand in the list of classes that was there before.
+func (b *Balancer) adopt(s *Settings) {
+	b.s = *s
+	b.s.BatchMax = max(1, s.BatchMax)
+	b.minAim = math.Inf(1)
+	for i, c := range s.Classes {
+		if !c.Dropped {
+			b.minAim = min(b.minAim, float64(c.Aim))
+		}
+		if i >= len(b.classes) {
+			b.classes = append(b.classes, class{delay: firstDelayShare * float64(c.Aim)})
+		}
+	}
+	for _, r := range b.replicas {
+		r.classes = append(r.classes, make([]tally, len(s.Classes)-len(r.classes))...)
+	}
+	b.tenants = append(b.tenants[:min(len(b.tenants), len(s.Tenants))],
+		make([]window, max(0, len(s.Tenants)-len(b.tenants)))...)
+	if b.span = s.ResendSpan; b.span == 0 {
+		b.span = copySpan
+	}
+	b.cells = make([][]*replica, s.Cells)
+	b.index()
+}
+
 // want counts for each replica the parts of a query that it could be sent now, in one call.
 func (b *Balancer) want(q *query) {
 	for _, p := range q.parts {
--- a/cmd/lapislever/main.go
+++ b/cmd/lapislever/main.go
@@ -124,10 +124,12 @@
 				go func() { k.Shutdown(); close(ended) }()
 			case s == syscall.SIGHUP: // while ending too: what is still open wants to hear of its nodes
 				// A file that cannot be used must not take down what works.
-				if fresh, _, err := load(ranges, env, log); err != nil {
+				fresh, _, err := load(ranges, env, log)
+				if err == nil {
+					err = k.Reload(fresh)
+				}
+				if err != nil {
 					k.Reject(err)
-				} else {
-					k.Reload(fresh)
 				}
 			}
 		case <-ended:
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -76,8 +76,10 @@
 	Tenant   int
 	Deadline time.Time // when the client gives this try up
 	Repeat   bool
-	Key      string // idempotency key
-	Text     []byte // what each part carries
+	Key      string         // idempotency key
+	Rules    *balance.Class // what binds it where that is not its class; nil: the class
+	Most     int            // attempts for a part, where that differs from the settings; 0: it does not
+	Text     []byte         // what each part carries
 	Parts    []PartSpec
 	Client   Client
 	Via      Backend // takes the parts to their servers
@@ -227,6 +229,9 @@
 	Data []byte
 }
 
+// Reconfigured brings new settings. Classes keep their places and none goes; open queries keep their rules.
+type Reconfigured struct{ Settings balance.Settings }
+
 // stopping tells that this instance ends: no query may be held beyond until.
 type stopping struct{ until time.Time }
 
@@ -250,16 +255,17 @@
 // cordons asks for what Inherited tells the next process.
 type cordons struct{ done chan<- Inherited }
 
-func (*Query) isEvent()      {}
-func (Cordon) isEvent()      {}
-func (Inherited) isEvent()   {}
-func (cordons) isEvent()     {}
-func (Outcome) isEvent()     {}
-func (Gone) isEvent()        {}
-func (Listed) isEvent()      {}
-func (ProbeDone) isEvent()   {}
-func (PeerMessage) isEvent() {}
-func (stopping) isEvent()    {}
+func (*Query) isEvent()       {}
+func (Cordon) isEvent()       {}
+func (Inherited) isEvent()    {}
+func (cordons) isEvent()      {}
+func (Reconfigured) isEvent() {}
+func (Outcome) isEvent()      {}
+func (Gone) isEvent()         {}
+func (Listed) isEvent()       {}
+func (ProbeDone) isEvent()    {}
+func (PeerMessage) isEvent()  {}
+func (stopping) isEvent()     {}
 
 // Config is what a core is made of.
 type Config struct {
@@ -509,6 +515,9 @@
 			c.out[id] = true
 		}
 		maps.Copy(c.since, e.Since)
+	case Reconfigured:
+		c.cfg.Settings = e.Settings
+		c.events = append(c.events, balance.Event{Kind: balance.Changed, Settings: &e.Settings})
 	case cordons:
 		e.done <- Inherited{Out: slices.Sorted(maps.Keys(c.out)), Since: maps.Clone(c.since)}
 	case ProbeDone:
@@ -642,7 +651,8 @@
 		hints = 0
 	}
 	c.events = append(c.events, balance.Event{Kind: balance.Query, ID: q.id, Number: q.number, Class: q.Class,
-		Tenant: q.Tenant, Weight: float64(len(q.Parts)), Hint: hints, Deadline: q.deadline, Repeat: q.Repeat})
+		Tenant: q.Tenant, Weight: float64(len(q.Parts)), Hint: hints, Deadline: q.deadline, Repeat: q.Repeat,
+		Rules: q.Rules, Most: q.Most})
 	for i := range q.Parts {
 		s := &q.Parts[i]
 		p := &part{q: q, spec: s, id: c.freshID()}
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -8,10 +8,15 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
+	"maps"
 	"math"
 	"net"
 	"os"
+	"reflect"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -22,6 +27,13 @@
 	"lapislever/internal/wire"
 )
 
+// bothBind is how long after a change of the settings clients may still ask by the old ones: the platform gives
+// them 1.2 s to hear of it.
+const bothBind = 1500 * time.Millisecond
+
+// mostTime bounds a deadline: a year, in microseconds.
+const mostTime = 365 * 24 * 3600 * 1_000_000
+
 // Config is the configuration of one coordinator, as the platform writes it.
 type Config struct {
 	Name      string `json:"name"`
@@ -40,7 +52,12 @@
 	Known      *hostList      `json:"known"`
 	Settings   map[string]any `json:"settings"`
 
-	TempDir     string           `json:"-"` // the platform's; an upgrade's two processes meet there
+	TempDir string    `json:"-"` // the platform's; an upgrade's two processes meet there
+	Before  *Config   `json:"-"` // what held until lately
+	Until   time.Time `json:"-"` // up to here requests may still come by that
+
+	raw map[string]any // the file as it was read
+
 	Module      balance.Settings `json:"-"`
 	Classes     []string         `json:"-"`
 	Zones       []string         `json:"-"`
@@ -72,9 +89,10 @@
 // Parse reads a configuration and checks it.
 func Parse(text []byte, env func(string) string) (*Config, error) {
 	c := &Config{}
-	d := json.NewDecoder(bytes.NewReader(text))
-	d.UseNumber()
-	if err := d.Decode(c); err != nil {
+	if err := decode(text, c); err != nil {
+		return nil, err
+	}
+	if err := decode(text, &c.raw); err != nil {
 		return nil, err
 	}
 	for _, v := range []struct {
@@ -117,14 +135,25 @@
 		return nil, err
 	}
 	c := &Config{Name: "alone"}
-	d := json.NewDecoder(bytes.NewReader(text))
-	d.UseNumber()
-	if err := d.Decode(c); err != nil {
+	if err := decode(text, c); err != nil {
 		return nil, err
 	}
 	return c, c.derive()
 }
 
+// decode reads one JSON value and no more; numbers stay as they are written.
+func decode(text []byte, v any) error {
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.UseNumber()
+	if err := d.Decode(v); err != nil {
+		return err
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return errors.New("something follows the configuration")
+	}
+	return nil
+}
+
 // derive reads the settings and fills in what limits are not given.
 func (c *Config) derive() error {
 	if c.Seed != "" {
@@ -158,6 +187,13 @@
 		if name == "" {
 			return fmt.Errorf("setting lanes.%d.name: is missing", i)
 		}
+		if slices.Contains(c.Classes, name) {
+			return fmt.Errorf("setting lanes.%d.name: %q is there twice", i, name)
+		}
+		if d := c.Module.Classes[i].Deadline; d <= 0 || d > mostTime {
+			return fmt.Errorf("setting lanes.%d.hardLimitUs: %s is no possible time", i,
+				flat[fmt.Sprintf("lanes.%d.hardLimitUs", i)])
+		}
 		c.Classes = append(c.Classes, name)
 	}
 	number := func(key string, absent float64) float64 {
@@ -237,16 +273,169 @@
 	return s
 }
 
-// class is the place of a class by its name, or -1.
-func (c *Config) class(name string) int {
-	for i, n := range c.Classes {
-		if n == name {
-			return i
-		}
+// class is the place of a class by its name, or -1. One that was dropped is known for as long as clients may
+// not have heard of that.
+func (c *Config) class(name string, now time.Time) int {
+	i := slices.Index(c.Classes, name)
+	if i < 0 || !c.Module.Classes[i].Dropped || c.before(i, now) != nil {
+		return i
 	}
 	return -1
 }
 
+// before is what a class was until lately, while requests may still come by it; nil: that time is over, or it
+// was nothing.
+func (c *Config) before(class int, now time.Time) *balance.Class {
+	if c.Before == nil || !now.Before(c.Until) || class >= len(c.Before.Classes) ||
+		c.Before.Module.Classes[class].Dropped {
+		return nil
+	}
+	return &c.Before.Module.Classes[class]
+}
+
+// binding is what binds one request.
+type binding struct {
+	rules balance.Class
+	most  int  // attempts for a part
+	key   bool // its key goes with the parts
+}
+
+// bind finds the rules of a request of a class. Just after a change it is not known by which rules it was
+// asked, unless its key tells; then both bind it, which is the stricter of each.
+func (c *Config) bind(class int, key bool, now time.Time) binding {
+	b := binding{rules: c.Module.Classes[class], most: c.Module.MaxAttempts}
+	b.key = b.rules.Effect == balance.Keyed
+	old := c.before(class, now)
+	if old == nil {
+		return b
+	}
+	b.most = min(b.most, c.Before.Module.MaxAttempts)
+	was := old.Effect == balance.Keyed
+	switch {
+	case b.key && !was && !key: // asked by the old rules
+		b.rules, b.key = *old, false
+	case was && !b.key && !key: // by the new ones
+	default:
+		switch {
+		case was && b.key:
+			b.rules.Window = min(b.rules.Window, old.Window)
+		case was:
+			b.rules.Window = old.Window
+		}
+		b.key = b.key || was
+		b.rules.Effect = max(b.rules.Effect, old.Effect)
+		b.rules.Deadline = max(b.rules.Deadline, old.Deadline)
+	}
+	return b
+}
+
+// after makes of a configuration that was read anew the one to go on with: what takes a restart stays as it is
+// and is named, and classes keep the places that they have, for queries are open by them. A class that is
+// gone is marked as dropped. Nothing of a file that lacks something is taken.
+func (c *Config) after(old *Config, now time.Time) (*Config, []string, error) {
+	if err := lacking("", old.raw, c.raw); err != nil {
+		return nil, nil, err
+	}
+	fresh, was := *c, *old
+	was.Before, fresh.raw = nil, old.raw // what the start's file had is needed ever after, and no more
+	var kept []string
+	for _, f := range []struct {
+		name     string
+		old, new any
+	}{
+		{"name", old.Name, c.Name}, {"listen", old.Listen, c.Listen}, {"limits", old.Limits, c.Limits},
+		{"peer_listen", old.PeerListen, c.PeerListen}, {"peers", old.Peers, c.Peers},
+		{"peers_all", old.PeersAll, c.PeersAll}, {"operator", old.Operator, c.Operator},
+		{"azs", old.Zones, c.Zones}, {"zone", old.Module.Zone, c.Module.Zone},
+		{"me", old.Module.Number, c.Module.Number}, {"peersTotal", old.Module.Peers, c.Module.Peers},
+		{"quantumUs", old.Module.Tick, c.Module.Tick},
+		{"membershipMode", old.Module.Subscribe, c.Module.Subscribe},
+	} {
+		if !reflect.DeepEqual(f.old, f.new) {
+			kept = append(kept, f.name)
+		}
+	}
+	fresh.Name, fresh.Listen, fresh.Limits, fresh.PeerListen = old.Name, old.Listen, old.Limits, old.PeerListen
+	fresh.Peers, fresh.PeersAll, fresh.Operator, fresh.Zones = old.Peers, old.PeersAll, old.Operator, old.Zones
+	m := &fresh.Module
+	m.Zone, m.Number, m.Peers, m.Tick, m.Subscribe = old.Module.Zone, old.Module.Number, old.Module.Peers,
+		old.Module.Tick, old.Module.Subscribe
+	fresh.Classes = slices.Clone(old.Classes)
+	m.Classes = slices.Clone(old.Module.Classes)
+	for i, name := range fresh.Classes {
+		m.Classes[i].Dropped = !slices.Contains(c.Classes, name)
+	}
+	for i, name := range c.Classes {
+		if at := slices.Index(fresh.Classes, name); at >= 0 {
+			m.Classes[at] = c.Module.Classes[i]
+		} else {
+			fresh.Classes = append(fresh.Classes, name)
+			m.Classes = append(m.Classes, c.Module.Classes[i])
+		}
+	}
+	fresh.Before, fresh.Until = &was, now.Add(bothBind)
+	return &fresh, kept, nil
+}
+
+// optional are keys that a file read anew need not have: what counts at a start only, and settings that may be
+// absent. Whether a class needs its window the module checks.
+var optional = map[string]bool{"known": true, "seed": true, "windowUs": true, "aimStretch": true, "warmKeys": true}
+
+// lacking names the first key of the configuration at the start that a file read anew has not, or not in the same
+// form. A list's items are held to what all items of the running one have.
+func lacking(path string, old, fresh any) error {
+	switch o := old.(type) {
+	case map[string]any:
+		f, ok := fresh.(map[string]any)
+		if !ok {
+			return fmt.Errorf("%s is no object", path)
+		}
+		for _, k := range slices.Sorted(maps.Keys(o)) {
+			at := strings.TrimPrefix(path+"."+k, ".")
+			if optional[k] {
+				continue
+			}
+			v, ok := f[k]
+			if !ok {
+				return fmt.Errorf("%s is missing", at)
+			}
+			if err := lacking(at, o[k], v); err != nil {
+				return err
+			}
+		}
+		return nil
+	case []any:
+		f, ok := fresh.([]any)
+		if !ok {
+			return fmt.Errorf("%s is no list", path)
+		}
+		if len(o) == 0 {
+			return nil
+		}
+		form := o[0]
+		if first, ok := form.(map[string]any); ok {
+			common := maps.Clone(first)
+			for _, x := range o[1:] {
+				m, _ := x.(map[string]any)
+				maps.DeleteFunc(common, func(k string, _ any) bool { _, ok := m[k]; return !ok })
+			}
+			form = common
+		}
+		for i, x := range f {
+			if err := lacking(fmt.Sprintf("%s.%d", path, i), form, x); err != nil {
+				return err
+			}
+		}
+		return nil
+	case nil:
+		return nil
+	}
+	if reflect.TypeOf(old) != reflect.TypeOf(fresh) {
+		return fmt.Errorf("%s: %v is of another kind than %v", path, fresh, old)
+	}
+	return nil
+}
+
 // report reads a load report, `name=value` joined by commas, in the order of the settings' columns. One that
 // cannot be read, or lacks a column, tells nothing: half of it would pass for an idle node.
 func (c *Config) report(text string) []float32 {
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -29,7 +29,7 @@
 
 // Front serves clients of the platform.
 type Front struct {
-	cfg   *Config
+	conf  atomic.Pointer[Config]
 	log   *slog.Logger
 	core  *core.Core
 	count *core.Counts
@@ -53,14 +53,14 @@
 	q, err := f.parse(r)
 	if err != nil {
 		f.log.Warn("bad request", "path", r.Path, "status", err.Status, "why", err.What)
-		if class := f.className(r); f.cfg.class(class) >= 0 {
+		if class := f.className(r); f.conf.Load().class(class, r.At) >= 0 {
 			f.count.Class(class).Add(ending(err.Status))
 		}
 		// The end of the connection: what else comes on it is worth as little, and must not cost more.
 		x.Reply(lnet.Response{Status: err.Status, Body: []byte(err.What + "\n"), Close: true})
 		return nil
 	}
-	q.Client = &client{x: x, log: f.log, count: f.count.Class(f.cfg.Classes[q.Class])}
+	q.Client = &client{x: x, log: f.log, count: f.count.Class(f.className(r))}
 	if !f.core.Submit(q) {
 		q.Client.Final(core.Final{Ending: core.Refused, RetryAfter: f.core.FullAdvice()})
 		return nil
@@ -70,7 +70,7 @@
 
 // TurnAway counts a request that was refused before it came here: too many connections are open.
 func (f *Front) TurnAway(r *lnet.Request) {
-	if class := f.className(r); f.cfg.class(class) >= 0 {
+	if class := f.className(r); f.conf.Load().class(class, r.At) >= 0 {
 		f.count.Class(class).Add(core.Refused)
 	}
 }
@@ -108,7 +108,8 @@
 	fail := func(status int, format string, args ...any) (*core.Query, *lnet.BadMessage) {
 		return nil, &lnet.BadMessage{Status: status, What: fmt.Sprintf(format, args...)}
 	}
-	class := f.cfg.class(f.className(r))
+	cfg := f.conf.Load()
+	class := cfg.class(f.className(r), r.At)
 	if class < 0 {
 		return fail(404, "unknown class")
 	}
@@ -125,13 +126,15 @@
 	if !isToken(q.Name) {
 		return fail(400, "X-Call-Id is missing or malformed")
 	}
-	switch keyed := f.cfg.Module.Classes[class].Effect == balance.Keyed; {
-	case keyed && !isToken(q.Key):
+	b := cfg.bind(class, q.Key != "", r.At)
+	switch {
+	case b.rules.Effect == balance.Keyed && !isToken(q.Key), b.key && q.Key != "" && !isToken(q.Key):
 		return fail(400, "Idempotency-Key is missing or malformed")
-	case !keyed:
+	case !b.key:
 		q.Key = ""
 	}
-	wait := time.Duration(f.cfg.Module.Classes[class].Deadline) * time.Microsecond
+	q.Rules, q.Most = &b.rules, b.most
+	wait := time.Duration(b.rules.Deadline) * time.Microsecond
 	if text := r.Header.Get("X-Budget"); text != "" {
 		s, err := strconv.ParseFloat(text, 64)
 		if err != nil || !(s >= 0) || math.IsInf(s, 0) {
@@ -155,7 +158,7 @@
 	q.Text = []byte(body.Filter)
 	seen, total := map[int]bool{}, 0.0
 	for _, s := range body.Slices {
-		if s.Slice == nil || *s.Slice < 0 || *s.Slice >= f.cfg.Shards || seen[*s.Slice] {
+		if s.Slice == nil || *s.Slice < 0 || *s.Slice >= cfg.Shards || seen[*s.Slice] {
 			return fail(400, "slices: a slice is missing, unknown or named twice")
 		}
 		seen[*s.Slice] = true
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lapislever/balance"
@@ -43,7 +44,7 @@
 
 // Nodes is the backend of the platform's queries.
 type Nodes struct {
-	cfg    *Config
+	conf   atomic.Pointer[Config]
 	log    *slog.Logger
 	budget *lnet.Budget
 	post   func(core.Event)
@@ -137,8 +138,9 @@
 // NewNodes returns the way to the nodes; post is the core's queue.
 func NewNodes(cfg *Config, budget *lnet.Budget, log *slog.Logger, count *core.Counts,
 	post func(core.Event)) *Nodes {
-	return &Nodes{cfg: cfg, log: log, budget: budget, post: post, count: count,
-		nodes: map[balance.ReplicaID]*node{}}
+	n := &Nodes{log: log, budget: budget, post: post, count: count, nodes: map[balance.ReplicaID]*node{}}
+	n.conf.Store(cfg)
+	return n
 }
 
 // Learn takes in where nodes are; of a whole list, that the others are gone. It must come before the core
@@ -234,7 +236,7 @@
 	limit := x.took.most()
 	for _, c := range x.conns {
 		c.mu.Lock()
-		free := n.cfg.Streams - c.calls
+		free := n.conf.Load().Streams - c.calls
 		switch {
 		case c.dead || c.retired:
 		case !c.owed.IsZero() && time.Since(c.owed) > limit:
@@ -392,7 +394,7 @@
 	if f.probe {
 		p := &probe{at: time.Now()}
 		c.probes = append(c.probes, p)
-		time.AfterFunc(c.n.cfg.DialTimeout, func() { c.probeDone(p, balance.TimedOut, nil) })
+		time.AfterFunc(c.n.conf.Load().DialTimeout, func() { c.probeDone(p, balance.TimedOut, nil) })
 	}
 	c.used = time.Now()
 	c.poke()
@@ -469,7 +471,7 @@
 // write dials and then writes frame by frame, each within its limit, so that a node that does not read
 // holds up nothing but its own connection.
 func (c *nodeConn) write(addr string) {
-	conn, err := net.DialTimeout("tcp", addr, c.n.cfg.DialTimeout)
+	conn, err := net.DialTimeout("tcp", addr, c.n.conf.Load().DialTimeout)
 	if err != nil {
 		c.end(err)
 		return
@@ -483,7 +485,7 @@
 	c.c, c.up = conn, true
 	c.mu.Unlock()
 	go c.read(conn)
-	limit := time.Duration(idleShare * float64(c.n.cfg.ConnIdle))
+	limit := time.Duration(idleShare * float64(c.n.conf.Load().ConnIdle))
 	idle := time.NewTimer(limit)
 	defer idle.Stop()
 	var buf []byte
@@ -666,7 +668,7 @@
 // frameLimit is how long a frame may take once it has begun.
 func (n *Nodes) frameLimit() time.Duration {
 	aim := balance.Micros(0)
-	for _, c := range n.cfg.Module.Classes {
+	for _, c := range n.conf.Load().Module.Classes {
 		if aim == 0 || c.Aim < aim {
 			aim = c.Aim
 		}
@@ -806,7 +808,7 @@
 			c.outlived(sent)
 		}
 		if at != nil {
-			c.n.post(core.Outcome{Attempt: at, Outcome: a.outcome, Report: c.n.cfg.report(a.report),
+			c.n.post(core.Outcome{Attempt: at, Outcome: a.outcome, Report: c.n.conf.Load().report(a.report),
 				Value: core.Value{Body: a.value}})
 		}
 		return nil
@@ -822,7 +824,7 @@
 		if string(rest) == "E" {
 			c.probeDone(p, balance.Error, nil)
 		} else {
-			c.probeDone(p, balance.OK, c.n.cfg.report(string(rest)))
+			c.probeDone(p, balance.OK, c.n.conf.Load().report(string(rest)))
 		}
 		return nil
 	case 'X':
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"log/slog"
 	"net"
-	"reflect"
 	"runtime"
 	"runtime/debug"
 	"sync"
@@ -47,6 +46,8 @@
 	Backend() core.Backend
 	// Start begins to serve; the core runs.
 	Start(c *core.Core, budget *lnet.Budget) error
+	// Settle tells of new settings, in which classes have kept their places.
+	Settle(s balance.Settings)
 	ender
 }
 
@@ -76,8 +77,12 @@
 	accepting atomic.Bool   // the fronts were started
 	listed    chan struct{} // closed once a list is known
 	upgrade   *upgrade
-	stop      chan struct{}
-	halted    sync.Once
+
+	mu     sync.Mutex // guards conf, halved
+	conf   *Config    // in force
+	halved bool       // another process serves beside this one
+	stop   chan struct{}
+	halted sync.Once
 
 	watcher   *watcher
 	discovery string // the address in use; Reload's own
@@ -92,7 +97,7 @@
 // Start starts a coordinator.
 func Start(cfg *Config, log *slog.Logger, extras ...Extra) (*Coordinator, error) {
 	k := &Coordinator{cfg: cfg, log: log, extras: extras, stop: make(chan struct{}), discovery: cfg.Discovery,
-		listed: make(chan struct{})}
+		listed: make(chan struct{}), conf: cfg}
 	h := inherit(cfg, log)
 	most := max(32, cfg.Limits.Sockets-ownSockets-k.doorSockets())
 	budget := lnet.NewBudget(most, most/nodeShare)
@@ -107,7 +112,8 @@
 	for _, x := range extras {
 		backends = append(backends, x.Backend())
 	}
-	k.front = &Front{cfg: cfg, log: log, via: k.nodes, count: k.counts}
+	k.front = &Front{log: log, via: k.nodes, count: k.counts}
+	k.front.conf.Store(cfg)
 	conf := core.Config{Settings: cfg.Module, Seed: cfg.seed(), Backends: backends, Log: log, Counts: k.counts,
 		Listed: func() { close(k.listed) }}
 	var err error
@@ -257,29 +263,59 @@
 	return nil
 }
 
-// Reload takes in a configuration that was read anew. Of a running coordinator only discovery's address can
-// change: the watch moves there at once and begins with the whole list. Queries and known nodes stay. What
-// else differs is named in the log and takes a restart. It must not be called from two goroutines at once.
-func (k *Coordinator) Reload(cfg *Config) {
-	for _, f := range []struct {
-		name     string
-		old, new any
-	}{
-		{"name", k.cfg.Name, cfg.Name}, {"listen", k.cfg.Listen, cfg.Listen},
-		{"limits", k.cfg.Limits, cfg.Limits}, {"peer_listen", k.cfg.PeerListen, cfg.PeerListen},
-		{"peers", k.cfg.Peers, cfg.Peers}, {"peers_all", k.cfg.PeersAll, cfg.PeersAll},
-		{"settings", k.cfg.Settings, cfg.Settings},
-	} {
-		if !reflect.DeepEqual(f.old, f.new) {
-			k.log.Warn("a change of the configuration takes a restart", "field", f.name)
+// Reload takes in a configuration that was read anew: the settings, and discovery's address, to where the watch
+// moves at once and begins with the whole list. Queries and known nodes stay. What else differs is named in the
+// log and takes a restart. Of a file that lacks something nothing is taken. It must not be called from two
+// goroutines at once.
+func (k *Coordinator) Reload(cfg *Config) error {
+	k.mu.Lock()
+	fresh, kept, err := cfg.after(k.conf, time.Now())
+	if err == nil {
+		k.conf = fresh
+		k.settle()
+		for _, name := range fresh.Classes {
+			k.counts.Class(name)
 		}
+		k.nodes.conf.Store(fresh)
+		k.front.conf.Store(fresh)
+	}
+	k.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	for _, x := range k.extras {
+		x.Settle(fresh.Module)
+	}
+	for _, name := range kept {
+		k.log.Warn("a change of the configuration takes a restart", "field", name)
 	}
 	if cfg.Discovery != "" && k.discovery != "" { // else there is no watch: the range-query front runs alone
 		k.discovery = cfg.Discovery
 		k.watcher.moveTo(cfg.Discovery)
 	}
 	k.counts.Applied.Add(1)
-	k.log.Info("configuration reloaded", "discovery", k.discovery)
+	k.log.Info("configuration reloaded", "discovery", k.discovery, "classes", cfg.Classes)
+	return nil
+}
+
+// settle tells the core of the settings in force; the caller holds mu. While two processes serve, each gives a
+// cold node half: what the module keeps to is this coordinator's share, and the two are one.
+func (k *Coordinator) settle() {
+	s := k.conf.Module
+	if k.halved {
+		s.ColdShare /= 2
+	}
+	k.core.Post(core.Reconfigured{Settings: s})
+}
+
+// halve begins or ends the time in which two processes serve.
+func (k *Coordinator) halve(on bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if on != k.halved {
+		k.halved = on
+		k.settle()
+	}
 }
 
 // Reject tells that a configuration was turned down: the old one stays, whole.
@@ -311,7 +347,9 @@
 	for _, x := range ends {
 		x.Retire()
 	}
-	answerOn, endingLimit := k.cfg.ending()
+	k.mu.Lock()
+	answerOn, endingLimit := k.conf.ending()
+	k.mu.Unlock()
 	idle := k.core.Finish(begun.Add(answerOn))
 	if handed {
 		k.lead(ends, begun.Add(answerOn-lastReply))
--- a/internal/platform/upgrade.go
+++ b/internal/platform/upgrade.go
@@ -243,7 +243,7 @@
 	return max(4*endingSpare, u.k.cfg.Limits.Sockets-2*(leastSockets+u.k.doorSockets()))
 }
 
-// limit bounds this process's descriptors and, while there are two, its memory.
+// limit bounds this process's descriptors and, while there are two, its memory and what it gives cold nodes.
 func (u *upgrade) limit(most int, alone bool) {
 	u.budget.Limit(most, most/nodeShare)
 	part := int64(u.k.cfg.Limits.MemoryMB) << 20 * memoryPart / 10
@@ -251,6 +251,7 @@
 		part /= 2
 	}
 	debug.SetMemoryLimit(part)
+	u.k.halve(!alone)
 }
 
 // open lets a successor ask for the sockets. It replaces whatever is there: the last process that serves is the
--- a/internal/promql/front.go
+++ b/internal/promql/front.go
@@ -186,6 +186,7 @@
 	core     *core.Core
 	budget   *lnet.Budget
 	listener *lnet.Server
+	rules    atomic.Pointer[balance.Class] // of its class, as they are now
 	held     atomic.Int64
 	number   atomic.Uint64
 	ending   atomic.Bool
@@ -210,6 +211,7 @@
 	if p.Settings.Classes[f.class].Effect != balance.Safe {
 		return nil, fmt.Errorf("class %q is not safe to repeat, as range queries are", cfg.Class)
 	}
+	f.Settle(p.Settings)
 	if p.Shards < 1 || p.Shards > maxShards {
 		return nil, fmt.Errorf("%d shards are not possible", p.Shards)
 	}
@@ -226,6 +228,9 @@
 	return f, nil
 }
 
+// Settle takes new settings in.
+func (f *Front) Settle(s balance.Settings) { f.rules.Store(&s.Classes[f.class]) }
+
 // Backend takes the front's parts to their servers.
 func (f *Front) Backend() core.Backend { return f }
 
@@ -349,7 +354,14 @@
 
 // submit hands a query to the core: one part for each shard.
 func (f *Front) submit(q *rangeQuery, r *lnet.Request, x *lnet.Exchange) func() {
-	wait := time.Duration(f.place.Settings.Classes[f.class].Deadline) * time.Microsecond
+	rules := f.rules.Load()
+	if rules.Dropped || rules.Effect != balance.Safe { // then the module would not decide for range queries
+		f.core.Counts().Class(f.cfg.Class).Add(core.Refused)
+		x.Reply(unavailable("unavailable", f.core.FullAdvice(),
+			fmt.Errorf("class %q is not there for range queries now", f.cfg.Class)))
+		return nil
+	}
+	wait := time.Duration(rules.Deadline) * time.Microsecond
 	if q.timeout > 0 {
 		wait = min(wait, q.timeout)
 	}
@@ -467,7 +479,7 @@
 	}
 	if missing := j.missing(parts); len(missing) > 0 {
 		share := float64(len(parts)) / float64(j.f.place.Shards)
-		if floor := j.f.place.Settings.Classes[j.f.class].Floor; len(parts) == 0 || share < floor-1e-9 {
+		if floor := j.f.rules.Load().Floor; len(parts) == 0 || share < floor-1e-9 {
 			return unavailable("unavailable", j.f.core.FullAdvice(),
 				fmt.Errorf("shards %v are missing or in conflict: refused rather than thin", missing))
 		}
