--- a/internal/platform/upgrade.go
+++ b/internal/platform/upgrade.go
@@ -31,6 +31,7 @@
 
 const (
 	linkWait     = time.Second            // for the other side's first words
+	linkQueue    = 64                     // words that wait for the other side
 	shareEvery   = 100 * time.Millisecond // between looks at what the old process still holds
 	listWait     = 2 * time.Second        // for discovery's list, before a successor serves by what it was told
 	endingSpare  = 8                      // descriptors that a process may always take
@@ -57,26 +58,64 @@
 	At     balance.Micros    `json:"at"`
 }
 
-// link is one end of the connection between an old process and a new one.
+// link is one end of the connection between an old process and a new one. What is said on it is queued until
+// the greetings are over, and nobody waits for the other side.
 type link struct {
-	c   *net.UnixConn
-	in  *bufio.Reader
-	mu  sync.Mutex // guards writing
-	log *slog.Logger
+	c    *net.UnixConn
+	in   *bufio.Reader
+	out  chan word
+	over chan struct{} // closed with the connection
+	once sync.Once
+	log  *slog.Logger
 }
 
+func newLink(c *net.UnixConn, log *slog.Logger) *link {
+	return &link{c: c, in: bufio.NewReader(c), out: make(chan word, linkQueue), over: make(chan struct{}), log: log}
+}
+
+// close ends the link.
+func (l *link) close() { l.once.Do(func() { close(l.over); _ = l.c.Close() }) }
+
+// say queues a word.
 func (l *link) say(w word) {
+	select {
+	case l.out <- w:
+	default:
+		l.log.Error("the other process of the upgrade does not listen")
+	}
+}
+
+// talk writes what is said.
+func (l *link) talk() {
+	for {
+		select {
+		case w := <-l.out:
+			if err := l.write(w); err != nil {
+				l.log.Warn("the other process of the upgrade does not listen", "err", err)
+			}
+		case <-l.over:
+			return
+		}
+	}
+}
+
+// write writes a word, with descriptors beside it if any are given.
+func (l *link) write(w word, fds ...int) error {
 	b, err := json.Marshal(w)
 	if err != nil {
-		l.log.Error("a word of the upgrade cannot be written", "err", err)
-		return
+		return err
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	b = append(b, '\n')
 	_ = l.c.SetWriteDeadline(time.Now().Add(linkWait))
-	if _, err := l.c.Write(append(b, '\n')); err != nil {
-		l.log.Warn("the other process of the upgrade does not listen", "err", err)
+	var oob []byte
+	if len(fds) > 0 {
+		oob = unix.UnixRights(fds...)
+	}
+	n, _, err := l.c.WriteMsgUnix(b, oob, nil)
+	if err == nil && n < len(b) {
+		_, err = l.c.Write(b[n:])
 	}
+	return err
 }
 
 // hear reads words until the other side is gone.
@@ -133,7 +172,7 @@
 		log.Info("no process to take over from", "err", err)
 		return nil
 	}
-	h := &inheritance{link: &link{c: c.(*net.UnixConn), log: log}}
+	h := &inheritance{link: newLink(c.(*net.UnixConn), log)}
 	if err := h.receive(cfg); err != nil {
 		log.Warn("nothing taken over: starting beside the old process", "err", err)
 		h.drop()
@@ -145,7 +184,9 @@
 
 // receive says who asks and takes the old process's greeting with the sockets.
 func (h *inheritance) receive(cfg *Config) error {
-	h.link.say(word{Listen: cfg.Listen, Peers: cfg.PeerListen})
+	if err := h.link.write(word{Listen: cfg.Listen, Peers: cfg.PeerListen}); err != nil {
+		return err
+	}
 	_ = h.link.c.SetReadDeadline(time.Now().Add(linkWait))
 	text, oob := make([]byte, 4096), make([]byte, unix.CmsgSpace(2*4))
 	n, oobn, _, _, err := h.link.c.ReadMsgUnix(text, oob)
@@ -220,7 +261,7 @@
 	if h.peers != nil {
 		_ = h.peers.Close()
 	}
-	_ = h.link.c.Close()
+	h.link.close()
 }
 
 // upgrade is a coordinator's part in taking over and in being taken over from.
@@ -285,7 +326,7 @@
 		if err != nil {
 			return
 		}
-		u.handOver(&link{c: c, in: bufio.NewReader(c), log: u.k.log})
+		u.handOver(newLink(c, u.k.log))
 	}
 }
 
@@ -299,14 +340,14 @@
 	}
 	for _, l := range []*link{u.old, u.successor} {
 		if l != nil {
-			_ = l.c.Close()
+			l.close()
 		}
 	}
 }
 
 // handOver serves one successor, until it is gone or this process is.
 func (u *upgrade) handOver(l *link) {
-	defer func() { _ = l.c.Close() }()
+	defer l.close()
 	_ = l.c.SetReadDeadline(time.Now().Add(linkWait))
 	w, err := l.next()
 	if err != nil || w.Listen != u.k.cfg.Listen || w.Peers != u.k.cfg.PeerListen {
@@ -314,26 +355,21 @@
 		return
 	}
 	_ = l.c.SetReadDeadline(time.Time{})
-	said, ok := u.k.core.Cordoned(linkWait / 2)
-	if !ok {
-		u.k.log.Warn("a successor came while the core is busy")
-		return
-	}
 	mine := u.shared() / 2
 	u.limit(mine, false)
 	for u.budget.Used() > mine && u.k.server.MakeWay() {
 	}
-	if err := u.greet(l, word{Out: said.Out, Since: said.Since, Most: u.rest(mine)}); err != nil {
+	if err := u.greet(l, mine); err != nil {
 		u.k.log.Warn("the sockets could not be handed over", "err", err)
+		u.mu.Lock()
+		u.successor = nil
+		u.mu.Unlock()
 		u.limit(u.all, true)
 		return
 	}
-	u.mu.Lock()
-	u.successor = l
-	u.mu.Unlock()
 	u.k.log.Info("a successor takes over")
-	over := make(chan struct{})
-	go u.shareOut(l, mine, over)
+	go l.talk()
+	go u.shareOut(l, mine)
 	l.hear(func(w word) {
 		if w.Ready {
 			u.mu.Lock()
@@ -343,7 +379,7 @@
 		}
 		u.obey(w)
 	})
-	close(over)
+	l.close()
 	u.mu.Lock()
 	u.successor, u.serves = nil, false
 	again := !u.closed
@@ -359,12 +395,12 @@
 }
 
 // shareOut gives the successor what this process does not hold any more, as it ends.
-func (u *upgrade) shareOut(l *link, mine int, over <-chan struct{}) {
+func (u *upgrade) shareOut(l *link, mine int) {
 	tick := time.NewTicker(shareEvery)
 	defer tick.Stop()
 	for told := 0; ; {
 		select {
-		case <-over:
+		case <-l.over:
 			return
 		case <-tick.C:
 		}
@@ -383,27 +419,24 @@
 func (u *upgrade) rest(mine int) int { return max(endingSpare, u.shared()-max(mine, u.budget.Used())) }
 
 // greet sends the greeting with the sockets beside it. Their modes stay as they are: both processes poll them.
-func (u *upgrade) greet(l *link, w word) error {
-	send := func(fds ...int) error {
-		b, err := json.Marshal(w)
-		if err != nil {
-			return err
-		}
-		b = append(b, '\n')
-		_ = l.c.SetWriteDeadline(time.Now().Add(linkWait))
-		n, _, err := l.c.WriteMsgUnix(b, unix.UnixRights(fds...), nil)
-		if err == nil && n < len(b) {
-			_, err = l.c.Write(b[n:])
-		}
-		return err
+// The successor is there to be told before what operators have said is read: a call between the two would else
+// be in neither. It is passed on behind the greeting.
+func (u *upgrade) greet(l *link, mine int) error {
+	u.mu.Lock()
+	u.successor = l
+	u.mu.Unlock()
+	said, ok := u.k.core.Cordoned(linkWait / 2)
+	if !ok {
+		return errors.New("the core is busy")
 	}
+	w := word{Out: said.Out, Since: said.Since, Most: u.rest(mine)}
 	return withFD(u.k.server.Listener(), func(listener int) error {
 		w.Sockets = []string{"listen"}
 		if u.k.peers == nil {
-			return send(listener)
+			return l.write(w, listener)
 		}
 		w.Sockets = append(w.Sockets, "peers")
-		return withFD(u.k.peers.c, func(peers int) error { return send(listener, peers) })
+		return withFD(u.k.peers.c, func(peers int) error { return l.write(w, listener, peers) })
 	})
 }
 
@@ -429,6 +462,7 @@
 	u.old = h.link
 	u.mu.Unlock()
 	u.limit(h.greeting.Most, false)
+	go h.link.talk()
 	go func() {
 		h.link.hear(func(w word) {
 			if w.Most > 0 {
@@ -436,7 +470,7 @@
 			}
 			u.obey(w)
 		})
-		_ = h.link.c.Close()
+		h.link.close()
 		u.mu.Lock()
 		u.old = nil
 		u.mu.Unlock()
--- a/internal/platform/upgrade_test.go
+++ b/internal/platform/upgrade_test.go
@@ -190,3 +190,37 @@
 		})
 	}
 }
+
+// A call while the greeting is written is not in it, and must not be lost: the successor hears it behind.
+func TestCallDuringTheGreetingIsPassedOn(t *testing.T) {
+	k := run(t, together(t, config(t, newDiscovery(t, hostAt("a", "127.0.0.1:1", 0)))))
+	path := filepath.Join(t.TempDir(), "pair")
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	theirs, err := net.DialUnix("unix", nil, &net.UnixAddr{Name: path, Net: "unix"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ours, err := l.AcceptUnix()
+	if err != nil {
+		t.Fatal(err)
+	}
+	old, fresh := newLink(ours, standin.Quiet()), newLink(theirs, standin.Quiet())
+	defer old.close()
+	defer fresh.close()
+	if err := k.upgrade.greet(old, 20); err != nil {
+		t.Fatal(err)
+	}
+	k.upgrade.pass(7, true)
+	go old.talk()
+	_ = theirs.SetReadDeadline(time.Now().Add(20 * time.Second))
+	if w, err := fresh.next(); err != nil || w.Sockets[0] != "listen" {
+		t.Fatalf("%+v %v", w, err)
+	}
+	if w, err := fresh.next(); err != nil || w.Cordon == nil || w.Cordon.Server != 7 || !w.Cordon.Out {
+		t.Fatalf("%+v %v", w, err)
+	}
+}
