Ask a busy process again for its sockets, and never start by an old list beside it

What fits is a successor or an old process that got no processor for about a second: the host took 7 s from each of the two cores that coordinators run on, 1 s from the others. Whatever the reason, a start with an unanswered question served at once by the known list, which the old process had long outgrown, and without the operators' calls. Now the question is put three times, who starts beside another waits for discovery's list (run.go, prepare), and the loop that hears successors outlives a passing error (upgrade.go, open).

--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -98,7 +98,7 @@
 func Start(cfg *Config, log *slog.Logger, extras ...Extra) (*Coordinator, error) {
 	k := &Coordinator{cfg: cfg, log: log, extras: extras, stop: make(chan struct{}), discovery: cfg.Discovery,
 		listed: make(chan struct{}), conf: cfg}
-	h := inherit(cfg, log)
+	h, beside := inherit(cfg, log)
 	most := max(32, cfg.Limits.Sockets-ownSockets-k.doorSockets())
 	budget := lnet.NewBudget(most, most/nodeShare)
 	budget.LimitRings(cfg.Limits.MemoryMB << 20 / ringShare)
@@ -162,12 +162,12 @@
 	if cfg.Discovery != "" {
 		go w.run(!cfg.Module.Subscribe)
 	}
-	if h == nil {
+	if !beside {
 		if err := k.accept(budget); err != nil {
 			return nil, err
 		}
 	}
-	go k.prepare(h != nil, budget)
+	go k.prepare(beside, budget)
 	if cfg.Operator != "" {
 		if k.door, err = admin.Open(cfg.Operator, doorState{k}, log); err != nil {
 			log.Error("the operators' door stays shut: serving without it", "address", cfg.Operator, "err", err)
@@ -191,15 +191,16 @@
 	return nil
 }
 
-// prepare waits for the list and then tells that this process can serve. One that takes over from another
-// waits for discovery's own word, as the old process serves meanwhile, and takes no client before.
-func (k *Coordinator) prepare(successor bool, budget *lnet.Budget) {
+// prepare waits for the list and then tells that this process can serve. One that starts beside another, whether
+// or not it could take over from it, waits for discovery's own word, as the old process serves meanwhile and has
+// long heard more than is known here, and takes no client before.
+func (k *Coordinator) prepare(beside bool, budget *lnet.Budget) {
 	select {
 	case <-k.listed:
 	case <-k.stop:
 		return
 	}
-	if successor {
+	if beside {
 		select {
 		case <-k.watcher.whole:
 		case <-time.After(listWait):
--- a/internal/platform/upgrade.go
+++ b/internal/platform/upgrade.go
@@ -31,6 +31,7 @@
 
 const (
 	linkWait     = time.Second            // for the other side's first words
+	linkTries    = 3                      // to be heard by it
 	linkQueue    = 64                     // words that wait for the other side
 	shareEvery   = 100 * time.Millisecond // between looks at what the old process still holds
 	listWait     = 2 * time.Second        // for discovery's list, before a successor serves by what it was told
@@ -157,29 +158,35 @@
 	peers    *net.UDPConn
 }
 
-// inherit asks the process that serves, if there is one, for its sockets. A socket file that nobody listens at
-// is left over from one that died; it says nothing.
-func inherit(cfg *Config, log *slog.Logger) *inheritance {
+// inherit asks the process that serves, if there is one, for its sockets, and tells whether one is there. A socket
+// file that nobody listens at is left over from one that died; it says nothing. One that is there but does not
+// answer is asked again: without its word a coordinator would forget what operators have put out.
+func inherit(cfg *Config, log *slog.Logger) (h *inheritance, there bool) {
 	path := socketPath(cfg)
 	if path == "" {
-		return nil
+		return nil, false
 	}
 	if _, err := os.Lstat(path); errors.Is(err, fs.ErrNotExist) {
-		return nil
+		return nil, false
 	}
-	c, err := net.DialTimeout("unix", path, linkWait)
-	if err != nil {
-		log.Info("no process to take over from", "err", err)
-		return nil
-	}
-	h := &inheritance{link: newLink(c.(*net.UnixConn), log)}
-	if err := h.receive(cfg); err != nil {
-		log.Warn("nothing taken over: starting beside the old process", "err", err)
+	for range linkTries {
+		c, err := net.DialTimeout("unix", path, linkWait)
+		if err != nil {
+			log.Info("no process to take over from", "err", err)
+			return nil, there
+		}
+		there = true
+		h = &inheritance{link: newLink(c.(*net.UnixConn), log)}
+		if err = h.receive(cfg); err == nil {
+			log.Info("taking over", "sockets", h.greeting.Sockets, "out", len(h.greeting.Out), "most",
+				h.greeting.Most)
+			return h, true
+		}
+		log.Warn("nothing taken over yet", "err", err)
 		h.drop()
-		return nil
 	}
-	log.Info("taking over", "sockets", h.greeting.Sockets, "out", len(h.greeting.Out), "most", h.greeting.Most)
-	return h
+	log.Error("nothing taken over: starting beside the old process")
+	return nil, true
 }
 
 // receive says who asks and takes the old process's greeting with the sockets.
@@ -323,9 +330,14 @@
 	u.mu.Unlock()
 	for {
 		c, err := l.AcceptUnix()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil { // out of descriptors or the like: it passes
+			u.k.log.Warn("a successor could not be heard", "err", err)
+			time.Sleep(shareEvery)
+			continue
+		}
 		u.handOver(newLink(c, u.k.log))
 	}
 }
--- a/internal/platform/upgrade_test.go
+++ b/internal/platform/upgrade_test.go
@@ -105,13 +105,13 @@
 	<-ended
 
 	last := *cfg // and the next one asks the one that serves now
-	if h := inherit(&last, standin.Quiet()); h == nil {
+	if h, _ := inherit(&last, standin.Quiet()); h == nil {
 		t.Fatal("nobody to take over from")
 	} else {
 		h.drop()
 	}
 	standin.Until(t, "the socket again, as that successor is gone", func() bool {
-		h := inherit(&last, standin.Quiet())
+		h, _ := inherit(&last, standin.Quiet())
 		if h != nil {
 			h.drop()
 		}
@@ -224,3 +224,36 @@
 		t.Fatalf("%+v %v", w, err)
 	}
 }
+
+// A process that is there may be too busy for the first question. It is asked again: without its word what
+// operators have put out would be forgotten. And who starts beside it waits for discovery's list, for what is
+// known from before may be long out of date.
+func TestBusyProcessIsAskedAgain(t *testing.T) {
+	cfg := together(t, config(t, newDiscovery(t, hostAt("a", "127.0.0.1:1", 0))))
+	cfg.Known = &hostList{Hosts: []host{hostAt("a", "127.0.0.1:1", 0), hostAt("old", "127.0.0.1:1", 0)}}
+	l, err := net.Listen("unix", socketPath(cfg))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	asked := make(chan struct{}, 10)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_ = c.Close()
+			asked <- struct{}{}
+		}
+	}()
+	k := run(t, cfg)
+	if n := len(asked); n != linkTries {
+		t.Errorf("asked %d times", n)
+	}
+	select {
+	case <-k.watcher.whole:
+	default:
+		t.Error("ready without discovery's word")
+	}
+}
