--- a/balance/balance.go
+++ b/balance/balance.go
@@ -38,6 +38,7 @@
 	callPower      = 2.0     // the draw goes by the parts that could share a call to this power
 	tellGap        = 250_000 // us between messages to a peer drawn at random
 	maxHeard       = 8.0     // a replica's tally from messages is cut to so many parts
+	maxSeen        = 30.0    // and what was seen of it here too, so that a burst of losses is outweighed as fast
 	workGain       = 0.2     // EWMA gain of the parts that a query of a class needs
 
 	// Hedging.
@@ -288,7 +289,9 @@
 func (b *Balancer) blame(r *replica, class int, took float64) {
 	b.fade(r)
 	r.classes[class].add(min(took, b.minAim), 1)
+	r.classes[class].cut(maxSeen)
 	r.own.add(min(took, b.minAim), 1)
+	r.own.cut(maxSeen)
 	r.pool.add(min(took, b.minAim), 1)
 }
 
@@ -384,9 +387,7 @@
 		if r := b.byHash[h]; r != nil {
 			b.fade(r)
 			r.pool.add(min(b.minAim, took), n)
-			if over := r.pool.n / maxHeard; over > 1 {
-				r.pool.sum, r.pool.n = r.pool.sum/over, r.pool.n/over
-			}
+			r.pool.cut(maxHeard)
 		}
 	})
 }
