Believe the list's word of a start over the call back, and keep lines to their width

A node that the list had told of as started at about 9 s counted as started at 10.8 s, the call back, and was held back 1.8 s longer than needed.

--- a/balance/api.go
+++ b/balance/api.go
@@ -207,7 +207,7 @@
 	Deadline Micros // when the client abandons this try
 	Repeat   bool   // of a Query: marked by its client as asked before
 	Rules    *Class // of a Query: what binds it where that is not its class; nil: the class
-	Most     int    // of a Query: attempts for one of its parts where that differs from the settings; 0: it does not
+	Most     int    // of a Query: attempts for a part where that differs from the settings; 0: it does not
 	Attempt  int
 	Closed   bool
 	Outcome  Outcome
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -38,7 +38,7 @@
 	callPower      = 2.0     // the draw goes by the parts that could share a call to this power
 	tellGap        = 250_000 // us between messages to a peer drawn at random
 	maxHeard       = 8.0     // a replica's tally from messages is cut to so many parts
-	maxSeen        = 30.0    // and what was seen of it here too, so that a burst of losses is outweighed as fast
+	maxSeen        = 30.0    // and what was seen of it here to so many: traffic must not hold up news
 	workGain       = 0.2     // EWMA gain of the parts that a query of a class needs
 
 	// Hedging.
@@ -705,7 +705,8 @@
 		if !b.s.WorthByWork {
 			v /= max(1, b.classes[i].work)
 		}
-		if i == q.class || !c.Dropped && (b.s.WorthByWork || b.classes[i].work > 0) { // else its parts are not known yet
+		// Of a class that was not met yet the parts are not known.
+		if i == q.class || !c.Dropped && (b.s.WorthByWork || b.classes[i].work > 0) {
 			best = max(best, v)
 		}
 		if i == q.class {
@@ -909,7 +910,8 @@
 	}
 }
 
-// Avoided counts the replicas that could get work and are avoided at present: what report tells of, but at once.
+// Avoided counts the replicas that could get work and are avoided at present: what report tells of, but at
+// once.
 func (b *Balancer) Avoided() int {
 	n, usual := 0, b.pace()
 	for _, r := range b.replicas {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -416,16 +416,18 @@
 	k := start(t, settings(), ready(4)...)
 	rules := settings().Classes[0]
 	rules.Effect = Unsafe
-	sends := of(Send, k.step(Event{Kind: Query, ID: 1, Number: 1, Weight: 1, Deadline: k.now + 3000*ms, Rules: &rules},
+	sends := of(Send, k.step(
+		Event{Kind: Query, ID: 1, Number: 1, Weight: 1, Deadline: k.now + 3000*ms, Rules: &rules},
 		Event{Kind: Part, ID: 2, Number: 1, Weight: 1, Deadline: k.now + 3000*ms}))
 	if got := k.result(2, 0, sends[0].Replica, Error); len(of(Fail, got)) != 1 {
 		t.Fatalf("what may have run is tried again or refused: %+v", got)
 	}
 }
 
-// What was seen of a replica counts as so many parts at the most. With the traffic of busy days four seconds hold
-// two hundred; a replica that had answered nothing for a moment and was sound again was avoided, and queries for
-// its shards refused, for as long as it took to forget them (upgrade+hand, 219 ms expected with no part out).
+// What was seen of a replica counts as so many parts at the most. With the traffic of busy days four seconds
+// hold two hundred; a replica that had answered nothing for a moment and was sound again was avoided, and
+// queries for its shards refused, for as long as it took to forget them (upgrade+hand, 219 ms expected with
+// no part out).
 func TestMuchSeenDoesNotHoldUpNews(t *testing.T) {
 	k := start(t, settings(), ready(2)...)
 	r := k.b.replicas[0]
--- a/balance/guards_test.go
+++ b/balance/guards_test.go
@@ -241,7 +241,8 @@
 	}
 	for range 20 {
 		k.b.adjust(r, 0)
-		k.b.settle(&part{q: &query{rules: &k.b.s.Classes[0]}, live: 1}, &attempt{r: r, call: &call{live: 1}, sent: k.now},
+		q := &query{rules: &k.b.s.Classes[0]}
+		k.b.settle(&part{q: q, live: 1}, &attempt{r: r, call: &call{live: 1}, sent: k.now},
 			&Event{Kind: Result, Outcome: Spoilt})
 	}
 	if r.weight > midWeight/4 {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -11,7 +11,6 @@
 	"log/slog"
 	"maps"
 	"math"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -236,8 +235,8 @@
 type stopping struct{ until time.Time }
 
 // Cordon is an operator's call to put a server out, or back. While out it gets nothing new, whatever the list
-// says: the module is told that it drains. Back, it counts as started at that moment at the earliest, for it
-// may have been restarted without the list's telling yet.
+// says: the module is told that it drains. Back, it counts as started at that moment, for it may have been
+// restarted without the list's telling yet, unless the list has told of a start while it was out.
 type Cordon struct {
 	Server balance.ReplicaID
 	Out    bool
@@ -248,7 +247,7 @@
 
 // Inherited is what another process of this coordinator has been told by operators.
 type Inherited struct {
-	Out   []balance.ReplicaID
+	Out   map[balance.ReplicaID]balance.Micros // and when
 	Since map[balance.ReplicaID]balance.Micros
 }
 
@@ -307,7 +306,7 @@
 	until    balance.Micros
 	sawList  bool
 	listed   map[balance.ReplicaID]balance.Replica // as discovery tells
-	out      map[balance.ReplicaID]bool            // put out by operators
+	out      map[balance.ReplicaID]balance.Micros  // put out by operators, and when
 	since    map[balance.ReplicaID]balance.Micros  // put back then: started no earlier
 	countAt  balance.Micros                        // when the list's figures are next due
 	idle     chan struct{}                         // closed once nothing is open while stopping
@@ -329,7 +328,7 @@
 		quit: make(chan struct{}), idle: make(chan struct{}),
 		epoch: now, base: now.UnixMicro(), queries: map[uint32]*Query{}, parts: map[uint32]*part{},
 		names: map[string]*Query{}, numbers: map[float32]bool{}, listed: map[balance.ReplicaID]balance.Replica{},
-		out: map[balance.ReplicaID]bool{}, since: map[balance.ReplicaID]balance.Micros{},
+		out: map[balance.ReplicaID]balance.Micros{}, since: map[balance.ReplicaID]balance.Micros{},
 	}, nil
 }
 
@@ -392,8 +391,8 @@
 	return answer, false
 }
 
-// Cordon puts a server out or back, and returns once that holds. It gives up waiting after the time given; the
-// call may then be carried out all the same.
+// Cordon puts a server out or back, and returns once that holds. It gives up waiting after the time given;
+// the call may then be carried out all the same.
 func (c *Core) Cordon(id balance.ReplicaID, out bool, within time.Duration) (known, inTime bool) {
 	done := make(chan bool, 1)
 	return ask(c, Cordon{Server: id, Out: out, Done: done}, done, within)
@@ -511,15 +510,13 @@
 	case Cordon:
 		c.cordon(e)
 	case Inherited: // it comes before any list
-		for _, id := range e.Out {
-			c.out[id] = true
-		}
+		maps.Copy(c.out, e.Out)
 		maps.Copy(c.since, e.Since)
 	case Reconfigured:
 		c.cfg.Settings = e.Settings
 		c.events = append(c.events, balance.Event{Kind: balance.Changed, Settings: &e.Settings})
 	case cordons:
-		e.done <- Inherited{Out: slices.Sorted(maps.Keys(c.out)), Since: maps.Clone(c.since)}
+		e.done <- Inherited{Out: maps.Clone(c.out), Since: maps.Clone(c.since)}
 	case ProbeDone:
 		c.events = append(c.events, balance.Event{Kind: balance.ProbeResult, Replica: e.Replica,
 			Outcome: e.Outcome, Elapsed: e.Elapsed.Microseconds(), Report: e.Report})
@@ -561,7 +558,7 @@
 // overlay is what the module is told of a listed server.
 func (c *Core) overlay(r balance.Replica) balance.Replica {
 	r.Started = max(r.Started, c.since[r.ID])
-	if c.out[r.ID] && r.State == balance.Ready {
+	if _, out := c.out[r.ID]; out && r.State == balance.Ready {
 		r.State = balance.Draining
 	}
 	return r
@@ -581,14 +578,18 @@
 // cordon puts a server out or back. Called twice it does no more than once.
 func (c *Core) cordon(e Cordon) {
 	r, listed := c.listed[e.Server]
-	known := listed || c.out[e.Server] || e.Sure
-	if known && e.Out != c.out[e.Server] {
+	since, out := c.out[e.Server]
+	known := listed || out || e.Sure
+	if known && e.Out != out {
+		if e.At == 0 {
+			e.At = c.clock(time.Now())
+		}
 		if e.Out {
-			c.out[e.Server] = true
+			c.out[e.Server] = e.At
 		} else {
 			delete(c.out, e.Server)
-			if c.since[e.Server] = e.At; e.At == 0 {
-				c.since[e.Server] = c.clock(time.Now())
+			if r.Started <= since { // else the list has told of the start, and knows better when that was
+				c.since[e.Server] = e.At
 			}
 		}
 		if listed {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -315,6 +315,14 @@
 	if !k.cordon(first.Replica, false) || k.overlay(k.listed[first.Replica]).Started == 0 {
 		t.Fatal("a server that is back counts as warm")
 	}
+	started := k.clock(time.Now()) // a start that the list has told of is known better than by the call back
+	k.cordon(first.Replica, true)
+	k.tell(Listed{Mode: balance.Delta, Replicas: []balance.Replica{
+		{ID: first.Replica, State: balance.Ready, Size: 1, Started: started + 1000*ms}}})
+	k.cordon(first.Replica, false)
+	if got := k.overlay(k.listed[first.Replica]).Started; got != started+1000*ms {
+		t.Fatalf("started %d us after the list's word", got-started-1000*ms)
+	}
 	k.tell(Listed{Mode: balance.Full, Replicas: []balance.Replica{{ID: 3, State: balance.Ready, Size: 1}}})
 	if len(k.since) != 0 {
 		t.Fatal("servers that are gone pile up")
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -27,8 +27,8 @@
 	"lapislever/internal/wire"
 )
 
-// bothBind is how long after a change of the settings clients may still ask by the old ones: the platform gives
-// them 1.2 s to hear of it.
+// bothBind is how long after a change of the settings clients may still ask by the old ones: the platform
+// gives them 1.2 s to hear of it.
 const bothBind = 1500 * time.Millisecond
 
 // mostTime bounds a deadline: a year, in microseconds.
@@ -329,8 +329,8 @@
 	return b
 }
 
-// after makes of a configuration that was read anew the one to go on with: what takes a restart stays as it is
-// and is named, and classes keep the places that they have, for queries are open by them. A class that is
+// after makes of a configuration that was read anew the one to go on with: what takes a restart stays as it
+// is and is named, and classes keep the places that they have, for queries are open by them. A class that is
 // gone is marked as dropped. Nothing of a file that lacks something is taken.
 func (c *Config) after(old *Config, now time.Time) (*Config, []string, error) {
 	if err := lacking("", old.raw, c.raw); err != nil {
@@ -377,12 +377,13 @@
 	return &fresh, kept, nil
 }
 
-// optional are keys that a file read anew need not have: what counts at a start only, and settings that may be
-// absent. Whether a class needs its window the module checks.
-var optional = map[string]bool{"known": true, "seed": true, "windowUs": true, "aimStretch": true, "warmKeys": true}
+// optional are keys that a file read anew need not have: what counts at a start only, and settings that may
+// be absent. Whether a class needs its window the module checks.
+var optional = map[string]bool{"known": true, "seed": true, "windowUs": true, "aimStretch": true,
+	"warmKeys": true}
 
-// lacking names the first key of the configuration at the start that a file read anew has not, or not in the same
-// form. A list's items are held to what all items of the running one have.
+// lacking names the first key of the configuration at the start that a file read anew has not, or not in the
+// same form. A list's items are held to what all items of the running one have.
 func lacking(path string, old, fresh any) error {
 	switch o := old.(type) {
 	case map[string]any:
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -260,7 +260,8 @@
 
 // What waits for a connection that is still coming up is queued: a drain takes it back, and it never ran.
 func TestStopTakesBackWhatIsQueued(t *testing.T) {
-	n := NewNodes(config(t, newDiscovery(t)), lnet.NewBudget(10, 0), standin.Quiet(), &core.Counts{}, func(core.Event) {})
+	n := NewNodes(config(t, newDiscovery(t)), lnet.NewBudget(10, 0), standin.Quiet(), &core.Counts{},
+		func(core.Event) {})
 	id := core.ServerID("a")
 	c := &nodeConn{n: n, node: &node{id: id}, out: lnet.NewRing(outLimit), waiting: map[string]*core.Attempt{},
 		given: map[string]time.Time{}, written: map[string]time.Time{}, wake: make(chan struct{}, 1)}
@@ -758,8 +759,8 @@
 	return c
 }
 
-// Operators compare the figures with what clients and data nodes saw: each reply counts once and in its class,
-// each attempt when it was written, an open request until it ends, also where its client leaves.
+// Operators compare the figures with what clients and data nodes saw: each reply counts once and in its
+// class, each attempt when it was written, an open request until it ends, also where its client leaves.
 func TestFiguresAreTrue(t *testing.T) {
 	var mute atomic.Bool
 	n := standin.NewNode(t, func(p standin.Part) (string, string) {
@@ -811,7 +812,10 @@
 	call("cordon", "c", 404)
 	call("cordon", "a", 200)
 	call("cordon", "a", 200)
-	standin.Until(t, "the figure", func() bool { f := figures(t, k); return f.PoolSize == 2 && f.PoolEjected == 1 })
+	standin.Until(t, "the figure", func() bool {
+		f := figures(t, k)
+		return f.PoolSize == 2 && f.PoolEjected == 1
+	})
 	before := len(a.Parts())
 	again := hostAt("a", a.Addr, 0)
 	again.Born = float64(time.Now().UnixMilli())
--- a/internal/platform/reload_test.go
+++ b/internal/platform/reload_test.go
@@ -14,8 +14,8 @@
 var added = []string{`"lanes":[`, `"lanes":[{"name":"fresh","goalTimeUs":1000000,"hardLimitUs":2000000,` +
 	`"idempotency":"idempotency_key","windowUs":3000000,"worth":2,"lateWorth":0},`}
 
-// A file that lacks a key of the running one, or has it in another form, or whose numbers cannot be, is turned
-// down whole. Parse alone would fill the gaps from the environment and from defaults.
+// A file that lacks a key of the running one, or has it in another form, or whose numbers cannot be, is
+// turned down whole. Parse alone would fill the gaps from the environment and from defaults.
 func TestBrokenFilesAreTurnedDown(t *testing.T) {
 	d := &discovery{addr: "127.0.0.1:1"}
 	old := config(t, d)
@@ -99,14 +99,15 @@
 			t.Errorf("%s to %s: repeats are dropped for %d us", c.old, c.new, b.rules.Window)
 		}
 		later := fresh.bind(0, c.key, now.Add(bothBind))
-		if want := fresh.Module.Classes[0].Effect; later.rules.Effect != want || later.key != (want == balance.Keyed) {
+		want := fresh.Module.Classes[0].Effect
+		if later.rules.Effect != want || later.key != (want == balance.Keyed) {
 			t.Errorf("%s to %s, later: %+v", c.old, c.new, later)
 		}
 	}
 }
 
-// New settings bind new requests: a class comes and goes, attempts change. What is open keeps its class, and a
-// broken file changes nothing; both are counted.
+// New settings bind new requests: a class comes and goes, attempts change. What is open keeps its class, and
+// a broken file changes nothing; both are counted.
 func TestReloadChangesTheSettings(t *testing.T) {
 	free := make(chan struct{})
 	slow := standin.NewNode(t, func(p standin.Part) (string, string) { <-free; return ok(p) })
@@ -125,14 +126,17 @@
 	if r := post(t, k, "fresh", 1); r.Status != 200 || !strings.Contains(n.Parts()[0].List, ",k=") {
 		t.Fatalf("the new class got %d, its part %+v", r.Status, n.Parts()[0])
 	}
-	if err := k.Reload(door(t, d, `"name":"rate-check"`, `"name":"other"`)); err != nil { // rate-check and fresh go
+	// rate-check and fresh go
+	if err := k.Reload(door(t, d, `"name":"rate-check"`, `"name":"other"`)); err != nil {
 		t.Fatal(err)
 	}
 	close(free)
 	if got := <-held; got != 200 {
 		t.Errorf("what was open when its class went got %d", got)
 	}
-	standin.Until(t, "the end of the class that went", func() bool { return post(t, k, "rate-check", 1).Status == 404 })
+	standin.Until(t, "the end of the class that went", func() bool {
+		return post(t, k, "rate-check", 1).Status == 404
+	})
 	for _, class := range []string{"other", "exchange-post"} {
 		if r := post(t, k, class, 1); r.Status != 200 {
 			t.Errorf("%s: %d", class, r.Status)
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -191,9 +191,9 @@
 	return nil
 }
 
-// prepare waits for the list and then tells that this process can serve. One that starts beside another, whether
-// or not it could take over from it, waits for discovery's own word, as the old process serves meanwhile and has
-// long heard more than is known here, and takes no client before.
+// prepare waits for the list and then tells that this process can serve. One that starts beside another,
+// whether or not it could take over from it, waits for discovery's own word, as the old process serves
+// meanwhile and has long heard more than is known here, and takes no client before.
 func (k *Coordinator) prepare(beside bool, budget *lnet.Budget) {
 	select {
 	case <-k.listed:
@@ -264,10 +264,10 @@
 	return nil
 }
 
-// Reload takes in a configuration that was read anew: the settings, and discovery's address, to where the watch
-// moves at once and begins with the whole list. Queries and known nodes stay. What else differs is named in the
-// log and takes a restart. Of a file that lacks something nothing is taken. It must not be called from two
-// goroutines at once.
+// Reload takes in a configuration that was read anew: the settings, and discovery's address, to where the
+// watch moves at once and begins with the whole list. Queries and known nodes stay. What else differs is
+// named in the log and takes a restart. Of a file that lacks something nothing is taken. It must not be
+// called from two goroutines at once.
 func (k *Coordinator) Reload(cfg *Config) error {
 	k.mu.Lock()
 	fresh, kept, err := cfg.after(k.conf, time.Now())
@@ -299,8 +299,8 @@
 	return nil
 }
 
-// settle tells the core of the settings in force; the caller holds mu. While two processes serve, each gives a
-// cold node half: what the module keeps to is this coordinator's share, and the two are one.
+// settle tells the core of the settings in force; the caller holds mu. While two processes serve, each gives
+// a cold node half: what the module keeps to is this coordinator's share, and the two are one.
 func (k *Coordinator) settle() {
 	s := k.conf.Module
 	if k.halved {
@@ -382,8 +382,8 @@
 	k.log.Info("ended", "took", time.Since(begun))
 }
 
-// lead has clients go over to the successor: the next reply on a connection ends it. An idle one stays open up
-// to the time given, as a request may be on its way, and closing would cross it.
+// lead has clients go over to the successor: the next reply on a connection ends it. An idle one stays open
+// up to the time given, as a request may be on its way, and closing would cross it.
 func (k *Coordinator) lead(ends []ender, until time.Time) {
 	if k.peers != nil {
 		_ = k.peers.c.Close() // what comes now is for the successor
@@ -397,8 +397,8 @@
 	}
 }
 
-// ending is when all must be answered after SIGTERM, and when the program ends. It is killed after the longest
-// deadline, or 3 s where that is longer, and 0.7 s.
+// ending is when all must be answered after SIGTERM, and when the program ends. It is killed after the
+// longest deadline, or 3 s where that is longer, and 0.7 s.
 func (c *Config) ending() (answerOn, limit time.Duration) {
 	longest := time.Duration(0)
 	for _, x := range c.Module.Classes {
--- a/internal/platform/upgrade.go
+++ b/internal/platform/upgrade.go
@@ -46,7 +46,7 @@
 	Listen  string                               `json:"listen,omitempty"`  // new: the addresses that it wants
 	Peers   string                               `json:"peers,omitempty"`   //
 	Sockets []string                             `json:"sockets,omitempty"` // old: the sockets that come along
-	Out     []balance.ReplicaID                  `json:"out,omitempty"`     // old: what operators have put out
+	Out     map[balance.ReplicaID]balance.Micros `json:"out,omitempty"`     // old: what is out, since when
 	Since   map[balance.ReplicaID]balance.Micros `json:"since,omitempty"`   // old: and back
 	Most    int                                  `json:"most,omitempty"`    // old: descriptors for the new one
 	Ready   bool                                 `json:"ready,omitempty"`   // new: it serves
@@ -71,7 +71,8 @@
 }
 
 func newLink(c *net.UnixConn, log *slog.Logger) *link {
-	return &link{c: c, in: bufio.NewReader(c), out: make(chan word, linkQueue), over: make(chan struct{}), log: log}
+	return &link{c: c, in: bufio.NewReader(c), out: make(chan word, linkQueue), over: make(chan struct{}),
+		log: log}
 }
 
 // close ends the link.
@@ -158,9 +159,9 @@
 	peers    *net.UDPConn
 }
 
-// inherit asks the process that serves, if there is one, for its sockets, and tells whether one is there. A socket
-// file that nobody listens at is left over from one that died; it says nothing. One that is there but does not
-// answer is asked again: without its word a coordinator would forget what operators have put out.
+// inherit asks the process that serves, if there is one, for its sockets, and tells whether one is there. A
+// socket file that nobody listens at is left over from one that died; it says nothing. One that is there but
+// does not answer is asked again: without its word a coordinator would forget what operators have put out.
 func inherit(cfg *Config, log *slog.Logger) (h *inheritance, there bool) {
 	path := socketPath(cfg)
 	if path == "" {
@@ -302,8 +303,8 @@
 	u.k.halve(!alone)
 }
 
-// open lets a successor ask for the sockets. It replaces whatever is there: the last process that serves is the
-// one to ask.
+// open lets a successor ask for the sockets. It replaces whatever is there: the last process that serves is
+// the one to ask.
 func (u *upgrade) open() {
 	if u.path == "" {
 		return
@@ -430,9 +431,9 @@
 // rest is what the successor may take: what this process neither holds nor may.
 func (u *upgrade) rest(mine int) int { return max(endingSpare, u.shared()-max(mine, u.budget.Used())) }
 
-// greet sends the greeting with the sockets beside it. Their modes stay as they are: both processes poll them.
-// The successor is there to be told before what operators have said is read: a call between the two would else
-// be in neither. It is passed on behind the greeting.
+// greet sends the greeting with the sockets beside it. Their modes stay as they are: both processes poll
+// them. The successor is there to be told before what operators have said is read: a call between the two
+// would else be in neither. It is passed on behind the greeting.
 func (u *upgrade) greet(l *link, mine int) error {
 	u.mu.Lock()
 	u.successor = l
--- a/internal/platform/upgrade_test.go
+++ b/internal/platform/upgrade_test.go
@@ -119,8 +119,8 @@
 	})
 }
 
-// Descriptors are shared out: two processes never hold more than one may, and what the old one gives up is the
-// new one's, in full once it is alone.
+// Descriptors are shared out: two processes never hold more than one may, and what the old one gives up is
+// the new one's, in full once it is alone.
 func TestDescriptorsAreSharedOut(t *testing.T) {
 	cfg := together(t, config(t, newDiscovery(t, hostAt("a", "127.0.0.1:1", 0))))
 	old := run(t, cfg)
