Keep few places for clients to be refused while two processes share descriptors

By reading: each process may hold 16 connections beyond its budget just to refuse them; in an upgrade that came twice on top of what is shared out. While there are two it is 4 each, counted in (upgrade.go, leastSockets): 16 descriptors of a running process are neither clients' nor nodes', as /proc showed.

--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -34,7 +34,7 @@
 	drainSize  = 16 << 10         // read at once of what is thrown away
 	idleLimit  = 10 * time.Second // a client connection between requests
 	spareLimit = time.Second      // and of one beyond the budget, until it is refused
-	spareMost  = 16               // connections of that kind
+	SpareMost  = 16               // connections of that kind
 	// A client is owed an answer or the end within 3 s of connecting, also for half a request or none.
 	requestLimit = 2500 * time.Millisecond
 	replyLimit   = 5 * time.Second
@@ -209,14 +209,14 @@
 // them.
 type Budget struct {
 	used, most, kept atomic.Int64
+	spare            atomic.Int64 // beyond it, each for a client that is to be refused
 	rings            pool
 }
 
 // NewBudget returns a budget of most descriptors with kept of them closed to clients.
 func NewBudget(most, kept int) *Budget {
 	b := &Budget{}
-	b.most.Store(int64(most))
-	b.kept.Store(int64(kept))
+	b.Limit(most, kept, max(2, min(SpareMost, most/4)))
 	b.rings.left.Store(poolSize)
 	return b
 }
@@ -242,10 +242,12 @@
 // takeClient takes one for a client's connection.
 func (b *Budget) takeClient() bool { return b.take(b.kept.Load()) }
 
-// Limit changes the budget. What is held beyond it stays until it is given back.
-func (b *Budget) Limit(most, kept int) {
+// Limit changes the budget, and how many clients beyond it may be held open to be refused. What is held beyond
+// it stays until it is given back.
+func (b *Budget) Limit(most, kept, spare int) {
 	b.most.Store(int64(most))
 	b.kept.Store(int64(kept))
+	b.spare.Store(int64(spare))
 }
 
 // Most is how many there are.
@@ -287,7 +289,6 @@
 	TurnedAway func(r *Request)
 	last       atomic.Int64 // when a request last came, in Unix nanoseconds
 	spare      atomic.Int64 // connections beyond the budget that are just being refused
-	spares     int64        // and how many there may be
 	wg         sync.WaitGroup
 }
 
@@ -319,8 +320,7 @@
 
 // NewServer serves on a listener that is there.
 func NewServer(l net.Listener, budget *Budget, log *slog.Logger, h Handler) *Server {
-	return &Server{l: l, handle: h, budget: budget, log: log, conns: map[*serverConn]struct{}{},
-		spares: max(2, min(spareMost, budget.most.Load()/4))}
+	return &Server{l: l, handle: h, budget: budget, log: log, conns: map[*serverConn]struct{}{}}
 }
 
 // Listener is the listener.
@@ -345,7 +345,7 @@
 		if !held && s.evict(kept) {
 			held = s.budget.takeClient()
 		}
-		if !held && s.spare.Add(1) > s.spares {
+		if !held && s.spare.Add(1) > s.budget.spare.Load() {
 			s.spare.Add(-1)
 			s.log.Warn("connection closed: too many are open", "client", c.RemoteAddr())
 			_ = c.Close()
--- a/internal/platform/upgrade.go
+++ b/internal/platform/upgrade.go
@@ -36,7 +36,8 @@
 	shareEvery   = 100 * time.Millisecond // between looks at what the old process still holds
 	listWait     = 2 * time.Second        // for discovery's list, before a successor serves by what it was told
 	endingSpare  = 8                      // descriptors that a process may always take
-	leastSockets = 20                     // of each of two processes, beside clients, nodes and operators
+	leastSpare   = 4                      // for clients that are refused, of each of two processes
+	leastSockets = 20 + leastSpare        // of each, beside clients, nodes and operators
 	memoryPart   = 6                      // tenths of the memory that the heap may take
 )
 
@@ -294,11 +295,11 @@
 
 // limit bounds this process's descriptors and, while there are two, its memory and what it gives cold nodes.
 func (u *upgrade) limit(most int, alone bool) {
-	u.budget.Limit(most, most/nodeShare)
-	part := int64(u.k.cfg.Limits.MemoryMB) << 20 * memoryPart / 10
+	part, spare := int64(u.k.cfg.Limits.MemoryMB)<<20*memoryPart/10, lnet.SpareMost
 	if !alone {
-		part /= 2
+		part, spare = part/2, leastSpare
 	}
+	u.budget.Limit(most, most/nodeShare, spare)
 	debug.SetMemoryLimit(part)
 	u.k.halve(!alone)
 }
