--- a/internal/platform/upgrade_test.go
+++ b/internal/platform/upgrade_test.go
@@ -105,13 +105,13 @@
 	<-ended
 
 	last := *cfg // and the next one asks the one that serves now
-	if h := inherit(&last, standin.Quiet()); h == nil {
+	if h, _ := inherit(&last, standin.Quiet()); h == nil {
 		t.Fatal("nobody to take over from")
 	} else {
 		h.drop()
 	}
 	standin.Until(t, "the socket again, as that successor is gone", func() bool {
-		h := inherit(&last, standin.Quiet())
+		h, _ := inherit(&last, standin.Quiet())
 		if h != nil {
 			h.drop()
 		}
@@ -190,3 +190,70 @@
 		})
 	}
 }
+
+// A call while the greeting is written is not in it, and must not be lost: the successor hears it behind.
+func TestCallDuringTheGreetingIsPassedOn(t *testing.T) {
+	k := run(t, together(t, config(t, newDiscovery(t, hostAt("a", "127.0.0.1:1", 0)))))
+	path := filepath.Join(t.TempDir(), "pair")
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	theirs, err := net.DialUnix("unix", nil, &net.UnixAddr{Name: path, Net: "unix"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ours, err := l.AcceptUnix()
+	if err != nil {
+		t.Fatal(err)
+	}
+	old, fresh := newLink(ours, standin.Quiet()), newLink(theirs, standin.Quiet())
+	defer old.close()
+	defer fresh.close()
+	if err := k.upgrade.greet(old, 20); err != nil {
+		t.Fatal(err)
+	}
+	k.upgrade.pass(7, true)
+	go old.talk()
+	_ = theirs.SetReadDeadline(time.Now().Add(20 * time.Second))
+	if w, err := fresh.next(); err != nil || w.Sockets[0] != "listen" {
+		t.Fatalf("%+v %v", w, err)
+	}
+	if w, err := fresh.next(); err != nil || w.Cordon == nil || w.Cordon.Server != 7 || !w.Cordon.Out {
+		t.Fatalf("%+v %v", w, err)
+	}
+}
+
+// A process that is there may be too busy for the first question. It is asked again: without its word what
+// operators have put out would be forgotten. And who starts beside it waits for discovery's list, for what is
+// known from before may be long out of date.
+func TestBusyProcessIsAskedAgain(t *testing.T) {
+	cfg := together(t, config(t, newDiscovery(t, hostAt("a", "127.0.0.1:1", 0))))
+	cfg.Known = &hostList{Hosts: []host{hostAt("a", "127.0.0.1:1", 0), hostAt("old", "127.0.0.1:1", 0)}}
+	l, err := net.Listen("unix", socketPath(cfg))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	asked := make(chan struct{}, 10)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_ = c.Close()
+			asked <- struct{}{}
+		}
+	}()
+	k := run(t, cfg)
+	if n := len(asked); n != linkTries {
+		t.Errorf("asked %d times", n)
+	}
+	select {
+	case <-k.watcher.whole:
+	default:
+		t.Error("ready without discovery's word")
+	}
+}
