Hand the successor what cold nodes may be given, and which are cold

It is no knowledge of how nodes do now but of what this deployment's nodes take, so it goes along in the greeting (balance.Memory), with the starts that the module found before the list told of them, which pass through the overlay.

--- a/balance/api.go
+++ b/balance/api.go
@@ -191,6 +191,7 @@
 	Awake                        // a wake-up that was asked for
 	Ending                       // Deadline: this instance ends then, and holds no query beyond it
 	Changed                      // Settings: the new ones; classes keep their places, and none goes
+	Recalled                     // Memory: of an instance that this one takes over from; before any List
 )
 
 // Event is something that happened to this instance.
@@ -219,6 +220,14 @@
 	From     uint32
 	Data     []byte
 	Settings *Settings
+	Memory   *Memory
+}
+
+// Memory is what an instance hands to the one that takes its place, on the same clock: how much cold replicas
+// may be given, and which are known to be cold.
+type Memory struct {
+	Carried, UsualSize float64
+	Starts             map[ReplicaID]Micros
 }
 
 // ActionKind tells which fields of an Action count.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -193,6 +193,8 @@
 		if e.Settings.check() == nil && len(e.Settings.Classes) >= len(b.classes) {
 			b.adopt(e.Settings)
 		}
+	case Recalled:
+		b.carried, b.usualSize = e.Memory.Carried, e.Memory.UsualSize
 	case Ending:
 		b.until = max(1, e.Deadline)
 		for _, q := range b.queries {
--- a/balance/state.go
+++ b/balance/state.go
@@ -242,6 +242,17 @@
 	q.parts = nil
 }
 
+// Memory is what the instance that takes this one's place has to know.
+func (b *Balancer) Memory() Memory {
+	m := Memory{Carried: b.carried, UsualSize: b.usualSize, Starts: map[ReplicaID]Micros{}}
+	for _, r := range b.replicas {
+		if b.cold(r) {
+			m.Starts[r.ID] = r.start
+		}
+	}
+	return m
+}
+
 // adopt takes settings in. Classes keep their places; the records of new ones begin anew. What is open holds
 // on to the rules that it began with, which stand in the list of classes that was there before.
 func (b *Balancer) adopt(s *Settings) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -245,10 +245,12 @@
 	Done   chan<- bool    // hears once whether the server is known; it has room. Or nil
 }
 
-// Inherited is what another process of this coordinator has been told by operators.
+// Inherited is what another process of this coordinator has been told by operators, and what its module hands
+// over.
 type Inherited struct {
-	Out   map[balance.ReplicaID]balance.Micros // and when
-	Since map[balance.ReplicaID]balance.Micros
+	Out    map[balance.ReplicaID]balance.Micros // and when
+	Since  map[balance.ReplicaID]balance.Micros
+	Memory balance.Memory
 }
 
 // cordons asks for what Inherited tells the next process.
@@ -512,11 +514,15 @@
 	case Inherited: // it comes before any list
 		maps.Copy(c.out, e.Out)
 		maps.Copy(c.since, e.Since)
+		for id, at := range e.Memory.Starts { // some of them the list may not tell yet
+			c.since[id] = max(c.since[id], at)
+		}
+		c.events = append(c.events, balance.Event{Kind: balance.Recalled, Memory: &e.Memory})
 	case Reconfigured:
 		c.cfg.Settings = e.Settings
 		c.events = append(c.events, balance.Event{Kind: balance.Changed, Settings: &e.Settings})
 	case cordons:
-		e.done <- Inherited{Out: maps.Clone(c.out), Since: maps.Clone(c.since)}
+		e.done <- Inherited{Out: maps.Clone(c.out), Since: maps.Clone(c.since), Memory: c.module.Memory()}
 	case ProbeDone:
 		c.events = append(c.events, balance.Event{Kind: balance.ProbeResult, Replica: e.Replica,
 			Outcome: e.Outcome, Elapsed: e.Elapsed.Microseconds(), Report: e.Report})
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -286,6 +286,45 @@
 	return <-done
 }
 
+// A process that takes over from another knows what that one has found: which servers are out or cold, though
+// its list may not tell, and how much cold ones may be given. It began with next to nothing for them, and
+// refused what only they could serve (upgrade+hand+scrape).
+func TestInheritedIsKept(t *testing.T) {
+	s := settings()
+	s.ColdShare, s.Ramp, s.FallMultiple, s.FallSpan = 0.2, 10000*ms, 2.5, 2000*ms
+	old := start(t, s)
+	for i := range 40 {
+		old.tell(old.query(string(rune('a'+i)), 1))
+		for _, c := range old.f.calls {
+			old.tell(Outcome{Attempt: c[0], Outcome: balance.OK, Value: Value{}})
+		}
+		old.f.calls = nil
+		old.wait(100 * ms)
+	}
+	old.tell(Listed{Mode: balance.Delta, Replicas: []balance.Replica{
+		{ID: 1, State: balance.Ready, Size: 1, Started: old.at}}})
+	done := make(chan Inherited, 1)
+	old.cordon(2, true)
+	old.tell(cordons{done: done})
+	said := <-done
+	if said.Memory.Carried <= 0 || said.Memory.Starts[1] == 0 {
+		t.Fatalf("%+v", said)
+	}
+	fresh := start(t, s)
+	fresh.tell(said)
+	fresh.tell(Listed{Mode: balance.Full, Replicas: []balance.Replica{{ID: 1, State: balance.Ready, Size: 1},
+		{ID: 2, State: balance.Ready, Size: 1}}})
+	if got := fresh.overlay(fresh.listed[1]).Started; got != said.Memory.Starts[1] {
+		t.Errorf("a cold server counts as started at %d", got)
+	}
+	if got := fresh.overlay(fresh.listed[2]).State; got != balance.Draining {
+		t.Errorf("a server that is out is in state %d", got)
+	}
+	if got := fresh.module.Memory().Carried; got < said.Memory.Carried/2 {
+		t.Errorf("%g is carried, not %g", got, said.Memory.Carried)
+	}
+}
+
 // What is queued for a server that operators put out is taken back before they hear the yes, and nothing new
 // goes there, also when the list tells of it anew. Back, it is cold though the list says otherwise.
 func TestCordonTakesQueuedSendsBack(t *testing.T) {
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -242,8 +242,8 @@
 // takeClient takes one for a client's connection.
 func (b *Budget) takeClient() bool { return b.take(b.kept.Load()) }
 
-// Limit changes the budget, and how many clients beyond it may be held open to be refused. What is held beyond
-// it stays until it is given back.
+// Limit changes the budget, and how many clients beyond it may be held open to be refused. What is held
+// beyond it stays until it is given back.
 func (b *Budget) Limit(most, kept, spare int) {
 	b.most.Store(int64(most))
 	b.kept.Store(int64(kept))
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -147,7 +147,8 @@
 	go k.core.Run()
 	k.upgrade = &upgrade{k: k, path: socketPath(cfg), budget: budget, all: most}
 	if h != nil {
-		k.core.Post(core.Inherited{Out: h.greeting.Out, Since: h.greeting.Since})
+		k.core.Post(core.Inherited{Out: h.greeting.Out, Since: h.greeting.Since,
+			Memory: h.greeting.Memory})
 		k.upgrade.follow(h)
 	}
 	if cfg.Known != nil { // what was known before a restart: enough to begin with
--- a/internal/platform/upgrade.go
+++ b/internal/platform/upgrade.go
@@ -49,6 +49,7 @@
 	Sockets []string                             `json:"sockets,omitempty"` // old: the sockets that come along
 	Out     map[balance.ReplicaID]balance.Micros `json:"out,omitempty"`     // old: what is out, since when
 	Since   map[balance.ReplicaID]balance.Micros `json:"since,omitempty"`   // old: and back
+	Memory  balance.Memory                       `json:"memory"`            // old: what its module hands over
 	Most    int                                  `json:"most,omitempty"`    // old: descriptors for the new one
 	Ready   bool                                 `json:"ready,omitempty"`   // new: it serves
 	Cordon  *cordonWord                          `json:"cordon,omitempty"`  // both: an operator's call
@@ -443,7 +444,7 @@
 	if !ok {
 		return errors.New("the core is busy")
 	}
-	w := word{Out: said.Out, Since: said.Since, Most: u.rest(mine)}
+	w := word{Out: said.Out, Since: said.Since, Memory: said.Memory, Most: u.rest(mine)}
 	return withFD(u.k.server.Listener(), func(listener int) error {
 		w.Sockets = []string{"listen"}
 		if u.k.peers == nil {
