--- a/balance/balance.go
+++ b/balance/balance.go
@@ -38,7 +38,6 @@
 	callPower      = 2.0     // the draw goes by the parts that could share a call to this power
 	tellGap        = 250_000 // us between messages to a peer drawn at random
 	maxHeard       = 8.0     // a replica's tally from messages is cut to so many parts
-	maxSeen        = 30.0    // and what was seen of it here to so many: traffic must not hold up news
 	workGain       = 0.2     // EWMA gain of the parts that a query of a class needs
 
 	// Hedging.
@@ -291,9 +290,7 @@
 func (b *Balancer) blame(r *replica, class int, took float64) {
 	b.fade(r)
 	r.classes[class].add(min(took, b.minAim), 1)
-	r.classes[class].cut(maxSeen)
 	r.own.add(min(took, b.minAim), 1)
-	r.own.cut(maxSeen)
 	r.pool.add(min(took, b.minAim), 1)
 }
 
@@ -389,7 +386,9 @@
 		if r := b.byHash[h]; r != nil {
 			b.fade(r)
 			r.pool.add(min(b.minAim, took), n)
-			r.pool.cut(maxHeard)
+			if over := r.pool.n / maxHeard; over > 1 {
+				r.pool.sum, r.pool.n = r.pool.sum/over, r.pool.n/over
+			}
 		}
 	})
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -143,13 +143,6 @@
 	t.n += n
 }
 
-// cut keeps the mean and lets it count as so many at the most, so that what comes next is heard.
-func (t *tally) cut(most float64) {
-	if over := t.n / most; over > 1 {
-		t.sum, t.n = t.sum/over, t.n/over
-	}
-}
-
 // window counts moments within a sliding span, which only ever moves forward.
 type window struct {
 	at   []Micros
