--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -27,14 +27,15 @@
 	MaxBody    = 64 << 10 // a body that the protocol allows
 	MaxHead    = 16 << 10 // a request or status line with its headers
 	firstRing  = 1 << 10
-	freeRing   = 4 << 10          // up to here a ring grows without being booked: most requests are smaller
-	largeRing  = 16 << 10         // an emptied ring beyond this gives its memory back
-	outRing    = 16 << 10         // replies are written through it piece by piece
-	poolSize   = 24 << 20         // all clients' rings together, beyond that, unless the budget says less
-	drainSize  = 16 << 10         // read at once of what is thrown away
-	idleLimit  = 10 * time.Second // a client connection between requests
-	spareLimit = time.Second      // and of one beyond the budget, until it is refused
-	SpareMost  = 16               // connections of that kind
+	freeRing   = 4 << 10              // up to here a ring grows without being booked: most requests are smaller
+	largeRing  = 16 << 10             // an emptied ring beyond this gives its memory back
+	outRing    = 16 << 10             // replies are written through it piece by piece
+	poolSize   = 24 << 20             // all clients' rings together, beyond that, unless the budget says less
+	drainSize  = 16 << 10             // read at once of what is thrown away
+	idleLimit  = 10 * time.Second     // a client connection between requests
+	spareLimit = time.Second          // and of one beyond the budget, until it is refused
+	waitStep   = 5 * time.Millisecond // between looks at whether all connections have ended
+	SpareMost  = 16                   // connections of that kind
 	// A client is owed an answer or the end within 3 s of connecting, also for half a request or none.
 	requestLimit = 2500 * time.Millisecond
 	replyLimit   = 5 * time.Second
@@ -289,7 +290,6 @@
 	TurnedAway func(r *Request)
 	last       atomic.Int64 // when a request last came, in Unix nanoseconds
 	spare      atomic.Int64 // connections beyond the budget that are just being refused
-	wg         sync.WaitGroup
 }
 
 // reusing lets another process listen on the same address: the next version of this program, while this one
@@ -357,7 +357,6 @@
 		s.mu.Lock()
 		s.conns[sc] = struct{}{}
 		s.mu.Unlock()
-		s.wg.Add(2)
 		go sc.fill()
 		go sc.serve()
 	}
@@ -421,16 +420,15 @@
 // StopListening closes the listener; connections go on.
 func (s *Server) StopListening() { _ = s.l.Close() }
 
-// Wait waits until every connection has ended, or until the time is over.
+// Wait waits until every connection has ended, or until the time is over. It looks again and again rather
+// than at a sync.WaitGroup: a connection may still be accepted just as the listener closes.
 func (s *Server) Wait(most time.Duration) bool {
-	done := make(chan struct{})
-	go func() { s.wg.Wait(); close(done) }()
-	select {
-	case <-done:
-		return true
-	case <-time.After(most):
-		return false
+	for end := time.Now().Add(most); s.Open() > 0; time.Sleep(waitStep) {
+		if time.Now().After(end) {
+			return false
+		}
 	}
+	return true
 }
 
 // serverConn is a client's connection: fill reads into its ring, serve takes requests out one by one.
@@ -563,7 +561,6 @@
 
 // fill reads what comes, also while a request waits for its reply: only so is a client's end seen at once.
 func (c *serverConn) fill() {
-	defer c.s.wg.Done()
 	for ended := false; !ended; {
 		c.mu.Lock()
 		free := c.in.Free()
@@ -679,7 +676,6 @@
 
 // serve takes one request after the other and writes its reply.
 func (c *serverConn) serve() {
-	defer c.s.wg.Done()
 	defer func() {
 		c.mu.Lock()
 		if c.err == nil {
