Tidy the new parts: one list of what takes a restart, one way to the counts

A second reading of the whole change; behaviour stays as it is. Config.after named each kept field twice, once to compare and once to keep it: one table of pointers does both. The front and the coordinator held the counts beside the core that owns them, and the coordinator the discovery address beside the configuration in force. Replies that the core is not asked for are counted in one place in each front. A comment on the connections that wait to be refused had come to stand under another constant.

--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -34,8 +34,8 @@
 	drainSize  = 16 << 10             // read at once of what is thrown away
 	idleLimit  = 10 * time.Second     // a client connection between requests
 	spareLimit = time.Second          // and of one beyond the budget, until it is refused
-	waitStep   = 5 * time.Millisecond // between looks at whether all connections have ended
 	SpareMost  = 16                   // connections of that kind
+	waitStep   = 5 * time.Millisecond // between looks at whether all connections have ended
 	// A client is owed an answer or the end within 3 s of connecting, also for half a request or none.
 	requestLimit = 2500 * time.Millisecond
 	replyLimit   = 5 * time.Second
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -339,27 +339,25 @@
 	fresh, was := *c, *old
 	was.Before, fresh.raw = nil, old.raw // what the start's file had is needed ever after, and no more
 	var kept []string
+	m := &fresh.Module
 	for _, f := range []struct {
 		name     string
-		old, new any
+		old, new any // pointers to both
 	}{
-		{"name", old.Name, c.Name}, {"listen", old.Listen, c.Listen}, {"limits", old.Limits, c.Limits},
-		{"peer_listen", old.PeerListen, c.PeerListen}, {"peers", old.Peers, c.Peers},
-		{"peers_all", old.PeersAll, c.PeersAll}, {"operator", old.Operator, c.Operator},
-		{"azs", old.Zones, c.Zones}, {"zone", old.Module.Zone, c.Module.Zone},
-		{"me", old.Module.Number, c.Module.Number}, {"peersTotal", old.Module.Peers, c.Module.Peers},
-		{"quantumUs", old.Module.Tick, c.Module.Tick},
-		{"membershipMode", old.Module.Subscribe, c.Module.Subscribe},
+		{"name", &old.Name, &fresh.Name}, {"listen", &old.Listen, &fresh.Listen},
+		{"limits", &old.Limits, &fresh.Limits}, {"peer_listen", &old.PeerListen, &fresh.PeerListen},
+		{"peers", &old.Peers, &fresh.Peers}, {"peers_all", &old.PeersAll, &fresh.PeersAll},
+		{"operator", &old.Operator, &fresh.Operator}, {"azs", &old.Zones, &fresh.Zones},
+		{"zone", &old.Module.Zone, &m.Zone}, {"me", &old.Module.Number, &m.Number},
+		{"peersTotal", &old.Module.Peers, &m.Peers}, {"quantumUs", &old.Module.Tick, &m.Tick},
+		{"membershipMode", &old.Module.Subscribe, &m.Subscribe},
 	} {
-		if !reflect.DeepEqual(f.old, f.new) {
+		is, would := reflect.ValueOf(f.old).Elem(), reflect.ValueOf(f.new).Elem()
+		if !reflect.DeepEqual(is.Interface(), would.Interface()) {
 			kept = append(kept, f.name)
+			would.Set(is)
 		}
 	}
-	fresh.Name, fresh.Listen, fresh.Limits, fresh.PeerListen = old.Name, old.Listen, old.Limits, old.PeerListen
-	fresh.Peers, fresh.PeersAll, fresh.Operator, fresh.Zones = old.Peers, old.PeersAll, old.Operator, old.Zones
-	m := &fresh.Module
-	m.Zone, m.Number, m.Peers, m.Tick, m.Subscribe = old.Module.Zone, old.Module.Number, old.Module.Peers,
-		old.Module.Tick, old.Module.Subscribe
 	fresh.Classes = slices.Clone(old.Classes)
 	m.Classes = slices.Clone(old.Module.Classes)
 	for i, name := range fresh.Classes {
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -32,7 +32,6 @@
 	conf  atomic.Pointer[Config]
 	log   *slog.Logger
 	core  *core.Core
-	count *core.Counts
 	via   core.Backend
 	ready atomic.Bool
 }
@@ -53,14 +52,12 @@
 	q, err := f.parse(r)
 	if err != nil {
 		f.log.Warn("bad request", "path", r.Path, "status", err.Status, "why", err.What)
-		if class := f.className(r); f.conf.Load().class(class, r.At) >= 0 {
-			f.count.Class(class).Add(ending(err.Status))
-		}
+		f.countUnasked(r, ending(err.Status))
 		// The end of the connection: what else comes on it is worth as little, and must not cost more.
 		x.Reply(lnet.Response{Status: err.Status, Body: []byte(err.What + "\n"), Close: true})
 		return nil
 	}
-	q.Client = &client{x: x, log: f.log, count: f.count.Class(f.className(r))}
+	q.Client = &client{x: x, log: f.log, count: f.core.Counts().Class(className(r))}
 	if !f.core.Submit(q) {
 		q.Client.Final(core.Final{Ending: core.Refused, RetryAfter: f.core.FullAdvice()})
 		return nil
@@ -70,13 +67,18 @@
 
 // TurnAway counts a request that was refused before it came here: too many connections are open.
 func (f *Front) TurnAway(r *lnet.Request) {
-	if class := f.className(r); f.conf.Load().class(class, r.At) >= 0 {
-		f.count.Class(class).Add(core.Refused)
+	f.countUnasked(r, core.Refused)
+}
+
+// countUnasked counts a reply that the core was not asked for, if the request names a class.
+func (f *Front) countUnasked(r *lnet.Request, e core.Ending) {
+	if class := className(r); f.conf.Load().class(class, r.At) >= 0 {
+		f.core.Counts().Class(class).Add(e)
 	}
 }
 
 // className is the class that a request names, known or not.
-func (f *Front) className(r *lnet.Request) string {
+func className(r *lnet.Request) string {
 	name, _, _ := strings.Cut(strings.TrimPrefix(r.Path, "/"), "/")
 	return name
 }
@@ -109,7 +111,7 @@
 		return nil, &lnet.BadMessage{Status: status, What: fmt.Sprintf(format, args...)}
 	}
 	cfg := f.conf.Load()
-	class := cfg.class(f.className(r), r.At)
+	class := cfg.class(className(r), r.At)
 	if class < 0 {
 		return fail(404, "unknown class")
 	}
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -71,7 +71,6 @@
 	nodes     *Nodes
 	peers     *peers
 	extras    []Extra
-	counts    *core.Counts
 	door      *admin.Door
 	ending    atomic.Bool
 	accepting atomic.Bool   // the fronts were started
@@ -84,8 +83,7 @@
 	stop   chan struct{}
 	halted sync.Once
 
-	watcher   *watcher
-	discovery string // the address in use; Reload's own
+	watcher *watcher
 }
 
 // ApplyLimits keeps this process within the platform's limits on cores and memory.
@@ -96,25 +94,25 @@
 
 // Start starts a coordinator.
 func Start(cfg *Config, log *slog.Logger, extras ...Extra) (*Coordinator, error) {
-	k := &Coordinator{cfg: cfg, log: log, extras: extras, stop: make(chan struct{}), discovery: cfg.Discovery,
+	k := &Coordinator{cfg: cfg, log: log, extras: extras, stop: make(chan struct{}),
 		listed: make(chan struct{}), conf: cfg}
 	h, beside := inherit(cfg, log)
 	most := max(32, cfg.Limits.Sockets-ownSockets-k.doorSockets())
 	budget := lnet.NewBudget(most, most/nodeShare)
 	budget.LimitRings(cfg.Limits.MemoryMB << 20 / ringShare)
 	post := func(e core.Event) { k.core.Post(e) }
-	k.counts = &core.Counts{}
+	counts := &core.Counts{}
 	for _, name := range cfg.Classes { // so that each is there from the first look on
-		k.counts.Class(name)
+		counts.Class(name)
 	}
-	k.nodes = NewNodes(cfg, budget, log, k.counts, post)
+	k.nodes = NewNodes(cfg, budget, log, counts, post)
 	backends := []core.Backend{k.nodes}
 	for _, x := range extras {
 		backends = append(backends, x.Backend())
 	}
-	k.front = &Front{log: log, via: k.nodes, count: k.counts}
+	k.front = &Front{log: log, via: k.nodes}
 	k.front.conf.Store(cfg)
-	conf := core.Config{Settings: cfg.Module, Seed: cfg.seed(), Backends: backends, Log: log, Counts: k.counts,
+	conf := core.Config{Settings: cfg.Module, Seed: cfg.seed(), Backends: backends, Log: log, Counts: counts,
 		Listed: func() { close(k.listed) }}
 	var err error
 	if cfg.PeerListen != "" {
@@ -240,7 +238,7 @@
 
 // Figures are this process's counts.
 func (d doorState) Figures() admin.Figures {
-	c := d.k.counts
+	c := d.k.core.Counts()
 	f := admin.Figures{OK: map[string]int64{}, Shed: map[string]int64{}, Errors: map[string]int64{},
 		Tries: c.Tries.Load(), Active: c.Active.Load(), PoolSize: c.Listed.Load(), PoolEjected: c.Avoided.Load(),
 		ConfigApplied: c.Applied.Load(), ConfigRejected: c.Rejected.Load()}
@@ -271,12 +269,13 @@
 // called from two goroutines at once.
 func (k *Coordinator) Reload(cfg *Config) error {
 	k.mu.Lock()
+	watched := k.conf.Discovery != "" // else there is no watch: the range-query front runs alone
 	fresh, kept, err := cfg.after(k.conf, time.Now())
 	if err == nil {
 		k.conf = fresh
 		k.settle()
 		for _, name := range fresh.Classes {
-			k.counts.Class(name)
+			k.core.Counts().Class(name)
 		}
 		k.nodes.conf.Store(fresh)
 		k.front.conf.Store(fresh)
@@ -291,12 +290,11 @@
 	for _, name := range kept {
 		k.log.Warn("a change of the configuration takes a restart", "field", name)
 	}
-	if cfg.Discovery != "" && k.discovery != "" { // else there is no watch: the range-query front runs alone
-		k.discovery = cfg.Discovery
-		k.watcher.moveTo(cfg.Discovery)
+	if watched {
+		k.watcher.moveTo(fresh.Discovery)
 	}
-	k.counts.Applied.Add(1)
-	k.log.Info("configuration reloaded", "discovery", k.discovery, "classes", cfg.Classes)
+	k.core.Counts().Applied.Add(1)
+	k.log.Info("configuration reloaded", "discovery", fresh.Discovery, "classes", cfg.Classes)
 	return nil
 }
 
@@ -322,7 +320,7 @@
 
 // Reject tells that a configuration was turned down: the old one stays, whole.
 func (k *Coordinator) Reject(err error) {
-	k.counts.Rejected.Add(1)
+	k.core.Counts().Rejected.Add(1)
 	k.log.Error("configuration not reloaded: the old one stays", "err", err)
 }
 
--- a/internal/promql/front.go
+++ b/internal/promql/front.go
@@ -355,17 +355,16 @@
 // submit hands a query to the core: one part for each shard.
 func (f *Front) submit(q *rangeQuery, r *lnet.Request, x *lnet.Exchange) func() {
 	rules := f.rules.Load()
-	if rules.Dropped || rules.Effect != balance.Safe { // then the module would not decide for range queries
-		f.core.Counts().Class(f.cfg.Class).Add(core.Refused)
-		x.Reply(unavailable("unavailable", f.core.FullAdvice(),
-			fmt.Errorf("class %q is not there for range queries now", f.cfg.Class)))
-		return nil
-	}
 	wait := time.Duration(rules.Deadline) * time.Microsecond
 	if q.timeout > 0 {
 		wait = min(wait, q.timeout)
 	}
 	j := &job{f: f, q: q, x: x, deadline: r.At.Add(wait)}
+	if rules.Dropped || rules.Effect != balance.Safe { // then the module would not decide for range queries
+		j.reply(unavailable("unavailable", f.core.FullAdvice(),
+			fmt.Errorf("class %q is not there for range queries now", f.cfg.Class)))
+		return nil
+	}
 	cq := &core.Query{Name: "range-" + strconv.FormatUint(f.number.Add(1), 10), Class: f.class,
 		Deadline: j.deadline, Client: j, Via: f, Data: j}
 	for s := range f.place.Shards {
@@ -745,13 +744,11 @@
 	body := j.q.form(fl.a.Shard, time.Until(until)).Encode()
 	head := [][2]string{{"Content-Type", "application/x-www-form-urlencoded"}, {"Accept", "application/json"}}
 	err := c.Write("POST", fl.s.path+rangePath, fl.s.addr, head, []byte(body), time.Now().Add(writeLimit))
-	if err == nil {
-		fl.f.core.Counts().Tries.Add(1)
-	}
 	if err != nil { // its last byte was not written: it never ran
 		fl.leave()
 		return balance.NoConnection, core.Value{}
 	}
+	fl.f.core.Counts().Tries.Add(1)
 	reply, err := c.Read(until.Add(readSlack))
 	fl.leave()
 	if err != nil {
