Let many peers' word count by their number, and give cold nodes the told climb

A coordinator meets a node 0.6 times a second, so what it had seen itself (half-life 4 s, trusted three times) was old, and refusing brought no news; the fleet together met the node 40 times a second. Started nodes got 20 parts a second beside partners at 60, until the end of the ramp.

Change: with Peers above four, evidence ages by their number, no faster than messages mix it, and peers' word counts by their number. The cold share climbs evenly over the ramp. Up to four peers the first two change nothing.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -22,6 +22,7 @@
 
 	// Time per part, and what goes by it.
 	speedLife      = 4_000_000 // us in which half of what was seen of a replica's speed is forgotten
+	fewPeers       = 4.0       // of more peers, what all have seen comes faster, ages faster and counts more
 	ownTrust       = 3.0       // own outcomes count as so many seen by others
 	classTrust     = 1.0       // and those of the class itself so many times more
 	peerTrust      = 3.0       // what messages have mixed counts as so many, and less the more is seen here
@@ -282,7 +283,7 @@
 // saw books the time that a part took at a replica. Where there is no answer it is what it took at the least.
 func (b *Balancer) saw(r *replica, class int, took float64) {
 	b.blame(r, class, took)
-	b.all.decay(b.now, speedLife)
+	b.all.decay(b.now, b.life)
 	b.all.add(min(took, b.minAim), 1)
 }
 
@@ -296,24 +297,26 @@
 
 // pace is the mean time per part. Without news it fades: what keeps an instance from sending must not last.
 func (b *Balancer) pace() float64 {
-	b.all.decay(b.now, speedLife)
+	b.all.decay(b.now, b.life)
 	return (b.all.sum + pacePrior*firstCost*b.minAim) / (b.all.n + pacePrior)
 }
 
 // fade forgets with time what was seen of a replica.
 func (b *Balancer) fade(r *replica) {
-	r.own.decay(b.now, speedLife)
-	r.pool.decay(b.now, speedLife)
+	r.own.decay(b.now, b.life)
+	r.pool.decay(b.now, b.life)
 	for i := range r.classes {
-		r.classes[i].decay(b.now, speedLife)
+		r.classes[i].decay(b.now, b.life)
 	}
 }
 
 // expect is the time that a part of a class is expected to take at a replica, waiting included. Own outcomes
-// outrank all else, and those of the class the others: one may be left unanswered while others are served.
+// outrank all else, and those of the class the others: one may be left unanswered while others are served. Of
+// many instances each meets a replica seldom, and its own evidence is old: what they have seen together counts
+// by their number.
 func (b *Balancer) expect(r *replica, class int) float64 {
 	b.fade(r)
-	heed, c := peerTrust/(1+r.own.n), r.classes[class]
+	heed, c := b.crowd*peerTrust/(1+r.own.n), r.classes[class]
 	return (b.pace() + ownTrust*(r.own.sum+classTrust*c.sum) + heed*r.pool.sum) /
 		(1 + ownTrust*(r.own.n+classTrust*c.n) + heed*r.pool.n)
 }
@@ -923,15 +926,17 @@
 	return n
 }
 
-// admits tells whether a cold replica may have one more part: no more than the share told for its start of
-// what a like warm one has served this instance, until the ramp ends, as the climb in between is not told.
+// admits tells whether a cold replica may have one more part: no more than its share of what a like warm one
+// has served this instance. The share climbs from the one told for the start, evenly over the ramp: a replica
+// is never slower than that.
 // Each instance keeps that by itself, so all together they keep it too.
 func (b *Balancer) admits(r *replica) bool {
 	if !b.cold(r) {
 		return true
 	}
 	boost := 1 + coldBoost*max(0, b.s.FallMultiple-1)
-	rate := boost * b.s.ColdShare * max(leastCold/float64(max(1, b.s.Peers)), r.Size*b.carried)
+	share := b.s.ColdShare + (1-b.s.ColdShare)*float64(b.now-r.start)/float64(b.s.Ramp)
+	rate := boost * share * max(leastCold/float64(max(1, b.s.Peers)), r.Size*b.carried)
 	burst := max(1, coldBurst*(b.s.FallMultiple-1)*rate*float64(b.s.FallSpan))
 	r.tokens = min(burst, r.tokens+rate*float64(b.now-r.refilled))
 	r.refilled = b.now
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -136,6 +136,56 @@
 	}
 }
 
+// An instance of many meets a replica seldom: what it has seen itself of a jam must not keep it away once its
+// peers are served at once again. Of a few instances each has evidence enough of its own.
+func TestManyPeersOutweighOldEvidence(t *testing.T) {
+	expected := func(peers int) float64 {
+		s := settings()
+		s.Peers, s.CanTell = peers, true
+		k := start(t, s, ready(2)...)
+		for range 3 {
+			k.b.saw(k.b.byID[1], 0, 800_000)
+		}
+		for range 8 { // two seconds of peers' messages
+			k.wait(tellGap)
+			var m message
+			m.add(hash(1), 20_000, 0.5)
+			k.step(Event{Kind: Message, From: 1, Data: []byte(m.text())})
+		}
+		return k.b.expect(k.b.byID[1], 0)
+	}
+	if few, many := expected(3), expected(80); few < 3*many {
+		t.Fatalf("%.0f us expected among 3 instances, %.0f among 80", few, many)
+	}
+}
+
+// A cold replica gets more as it warms, and never more than the told least climb gives it: its share of what
+// a warm one carries, times the multiple that it bears.
+func TestColdShareClimbs(t *testing.T) {
+	s := settings()
+	s.Ramp, s.Reach = 10_000*ms, 1
+	rs := ready(1)
+	rs[0].Started = 20_000 * ms
+	k := start(t, s, rs...)
+	const carried = 20.0 / 1e6 // parts a us for its size
+	var parts [10]float64
+	for i := range parts {
+		for end := k.now + 1000*ms; k.now < end; k.now += 10 * ms {
+			k.b.now, k.b.carried = k.now, carried/rs[0].Size
+			for k.b.admits(k.b.byID[1]) {
+				k.b.byID[1].tokens--
+				parts[i]++
+			}
+		}
+	}
+	for i, n := range parts[1:] {
+		share := 0.25 + 0.75*float64(i+2)/10 // at the end of that second
+		if most := share * s.FallMultiple * carried * 1e6; n > most+1 || n < 0.8*most-2 {
+			t.Errorf("second %d: %v parts, want about %.0f and no more: %v", i+1, n, most, parts)
+		}
+	}
+}
+
 // Where nothing is known yet, all instances together send a cold replica about as much however many they are.
 func TestColdFloorIsSharedByPeers(t *testing.T) {
 	sent := func(peers int) (n int) {
--- a/balance/state.go
+++ b/balance/state.go
@@ -49,8 +49,10 @@
 	askAt      Micros
 	askGap     Micros // wait after the next failure, twice the last one
 	minAim     float64
-	until      Micros // no query is held beyond this, as the instance ends; 0: it does not
-	all        tally  // time per part over all replicas
+	crowd      float64 // peers for each of a few, at least 1
+	life       float64 // us in which half of what was seen of a replica's speed is forgotten
+	until      Micros  // no query is held beyond this, as the instance ends; 0: it does not
+	all        tally   // time per part over all replicas
 	free       []*replica
 }
 
@@ -268,6 +270,8 @@
 	if b.span = s.ResendSpan; b.span == 0 {
 		b.span = copySpan
 	}
+	b.crowd = max(1, float64(s.Peers)/fewPeers)
+	b.life = max(speedLife/b.crowd, tellGap*math.Log2(float64(max(1, s.Peers))))
 	b.cells = make([][]*replica, s.Cells)
 	b.index()
 }
