Count a full queue once for all peers, and go on watching from the known list

Each start asked for the whole list and then for the watch, and a failed call was made again within a quarter of the time that MustAsk allows, though four times that may pass after one.

At fault: watcher.run (whole is true at every start), list (MustAsk/4), settle (Busy goes into the shared record in full).

Change: where calls are work for discovery the first one goes on from the list known before the start, failed calls back off up to MustAsk, and a refusal for a full queue counts for the shared record as one over the peers.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -233,8 +233,8 @@
 		if b.watching || b.askGap == 0 {
 			b.askGap = askAgain
 		}
-		if b.s.MustAsk > 0 {
-			b.askGap = min(b.askGap, b.s.MustAsk/4)
+		if b.s.MustAsk > 0 { // after a failed call four times that may pass
+			b.askGap = min(b.askGap, b.s.MustAsk)
 		}
 		b.askAt = b.now + b.askGap/2 + b.rng.Int64N(b.askGap/2+1)
 	}
@@ -485,6 +485,7 @@
 		b.adjust(r, -weightStep*lossRefused)
 	case Busy: // its queue is full: what we send now would wait behind all of that
 		b.saw(r, p.q.class, b.minAim)
+		r.pool.add(b.minAim, 1/b.crowd-1) // all peers meet the same queue at the same moment
 		b.adjust(r, -weightStep*lossBusy)
 	}
 	if t.never = e.Outcome == Busy || e.Outcome == NoConnection || e.Outcome == NotSent; t.never {
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -159,6 +159,23 @@
 	}
 }
 
+// A queue that is full for half a second turns parts of every instance away. That is one thing seen by many, not
+// many things: it must not stand for seconds against all that is served afterwards.
+func TestFullQueueCountsOnceForAllPeers(t *testing.T) {
+	shared := func(peers int) float64 {
+		s := settings()
+		s.Peers, s.CanTell = peers, true
+		k := start(t, s, ready(2)...)
+		id := k.query(0, 1)
+		send := one(t, Send, k.out)
+		k.result(id+1, 0, send.Replica, Busy)
+		return k.b.byID[send.Replica].pool.n
+	}
+	if few, many := shared(4), shared(80); few != 1 || many > 0.06 {
+		t.Fatalf("a refusal counts %v for 4 peers, %v for 80", few, many)
+	}
+}
+
 // A cold replica gets more as it warms, and never more than the told least climb gives it: its share of what
 // a warm one carries, times the multiple that it bears.
 func TestColdShareClimbs(t *testing.T) {
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -300,6 +300,25 @@
 	}
 }
 
+// Where a call is work for discovery, a start goes on from the list that was known before it. Asking for the whole
+// list first, many coordinators that start together ask for more lines than discovery gives.
+func TestAskedListGoesOnFromTheKnownOne(t *testing.T) {
+	a := standin.NewNode(t, ok)
+	for mode, first := range map[string]string{"automatic": "", "subscribe": "index=41&wait=20000"} {
+		d := newDiscovery(t, hostAt("a", a.Addr, 0))
+		c := config(t, d, `"membershipMode":"automatic"`, fmt.Sprintf(`"membershipMode":%q`, mode))
+		c.Known = &hostList{Seq: 41, Whole: true, Hosts: []host{hostAt("a", a.Addr, 0)}}
+		k := run(t, c)
+		standin.Until(t, "a call", func() bool { return len(d.queries()) > 0 })
+		if got := d.queries()[0]; got != first {
+			t.Errorf("%s: the first call was %q, want %q", mode, got, first)
+		}
+		if r := post(t, k, "rate-check", 0); r.Status != 200 {
+			t.Errorf("%s: %d %s", mode, r.Status, r.Body)
+		}
+	}
+}
+
 // A reload moves the watch at once, also with a call out on the old address, and begins with the whole list.
 // What is held meanwhile is answered, and the known nodes serve while the new address is silent.
 func TestReloadMovesTheWatch(t *testing.T) {
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -122,7 +122,8 @@
 		conf.Peers = k.peers
 	}
 	w := &watcher{cfg: cfg, log: log, nodes: k.nodes, post: post, on: make(chan bool, 16),
-		fetch: make(chan struct{}, 16), move: make(chan string), stop: k.stop, whole: make(chan struct{})}
+		fetch: make(chan struct{}, 16), move: make(chan string), stop: k.stop, whole: make(chan struct{}),
+		beside: beside}
 	k.watcher = w
 	if cfg.Module.Subscribe {
 		conf.Lister = w
@@ -455,6 +456,8 @@
 	stop  chan struct{}
 	whole chan struct{} // closed once discovery has given the whole list
 	seq   int64
+	// beside is set where another process of this coordinator serves and has long heard more than is known here.
+	beside bool
 }
 
 // Watch is the module's wish to hear of changes.
@@ -486,7 +489,10 @@
 func (w *watcher) run(watching bool) {
 	addr := w.cfg.Discovery
 	asked := !watching // by the module, which wants to hear of a failure
-	wait, whole, wanted := watchRetry, true, false
+	// The whole list is asked for at the start where it costs nothing. Where a call is work for discovery, a
+	// watch goes on from the list that was known before the start: many coordinators that start together would
+	// else ask for more lines than discovery can give, and none of them would hear of anything.
+	wait, whole, wanted := watchRetry, watching || w.seq == 0 || w.beside, false
 	var c *lnet.Client // at rest between calls
 	var out *watchCall
 	var again <-chan time.Time // after a failure
