--- a/cmd/lapislever/main.go
+++ b/cmd/lapislever/main.go
@@ -15,6 +15,7 @@
 	"github.com/spf13/pflag"
 
 	"lapislever/internal/importer"
+	"lapislever/internal/kiosk"
 	"lapislever/internal/platform"
 	"lapislever/internal/promql"
 )
@@ -27,11 +28,12 @@
 commands:
   serve     run one coordinator
   check     validate the configuration and stop
-  import    make a file for --promql of a mod_jk worker file or Apache's balancers
+  import    make a file for --promql or --translate of a mod_jk worker file or Apache's balancers
   version   print the version
 
 RELAY_CONFIG names the platform's configuration. With --promql FILE range queries are served too, and without
-RELAY_CONFIG they alone.
+RELAY_CONFIG they alone. With --translate FILE, and without RELAY_CONFIG, old terminals are served by nodes of
+the old form and of the new one.
 `
 
 func main() {
@@ -62,14 +64,18 @@
 	}
 	flags := pflag.NewFlagSet(args[0], pflag.ContinueOnError)
 	flags.SetOutput(stderr)
-	verbose, ranges, listen, class, files := false, "", "", "", 0
+	verbose, files := false, 0
+	var from sources
+	var into importer.Options
 	switch args[0] {
 	case "serve", "check":
 		flags.BoolVarP(&verbose, "verbose", "v", false, "log more")
-		flags.StringVar(&ranges, "promql", "", "serve range queries as this file says")
+		flags.StringVar(&from.ranges, "promql", "", "serve range queries as this file says")
+		flags.StringVar(&from.translate, "translate", "", "serve old terminals as this file says")
 	case "import":
-		flags.StringVar(&listen, "listen", "127.0.0.1:9090", "address that the front listens on")
-		flags.StringVar(&class, "class", "day-report", "class of its queries")
+		flags.StringVar(&into.Listen, "listen", "127.0.0.1:9090", "address that the front listens on")
+		flags.StringVar(&into.Class, "class", "day-report", "class of range queries")
+		flags.StringVar(&into.For, "for", importer.Ranges, "what the file is for: promql or translate")
 		files = 1
 	case "version":
 	case "help", "-h", "--help":
@@ -92,7 +98,7 @@
 		fmt.Fprintln(stdout, "lapislever", version())
 		return nil
 	case "import":
-		return importFile(flags.Arg(0), listen, class, stdout, stderr)
+		return importFile(flags.Arg(0), into, stdout, stderr)
 	}
 	level := slog.LevelInfo
 	if verbose {
@@ -100,7 +106,7 @@
 	}
 	log, flush := platform.NewLog(stderr, level)
 	defer flush()
-	cfg, fronts, err := load(ranges, env, log)
+	cfg, fronts, err := load(from, env, log)
 	if err != nil {
 		return err
 	}
@@ -124,12 +130,18 @@
 				go func() { k.Shutdown(); close(ended) }()
 			case s == syscall.SIGHUP: // while ending too: what is still open wants to hear of its nodes
 				// A file that cannot be used must not take down what works.
-				fresh, _, err := load(ranges, env, log)
+				fresh, anew, err := load(from, env, log)
 				if err == nil {
 					err = k.Reload(fresh)
 				}
 				if err != nil {
 					k.Reject(err)
+					continue
+				}
+				for i, x := range fronts {
+					if old, ok := x.(*kiosk.Front); ok {
+						old.Adopt(anew[i].(*kiosk.Front))
+					}
 				}
 			}
 		case <-ended:
@@ -138,18 +150,28 @@
 	}
 }
 
-// load reads the configuration, and the range-query front's file where one is given.
-func load(ranges string, env func(string) string, log *slog.Logger) (*platform.Config, []platform.Extra,
+// sources are the files that a start names.
+type sources struct{ ranges, translate string }
+
+// load reads the configuration, and the fronts' files where any are given.
+func load(from sources, env func(string) string, log *slog.Logger) (*platform.Config, []platform.Extra,
 	error) {
-	if ranges == "" {
+	alone := env("RELAY_CONFIG") == ""
+	switch {
+	case from.translate != "" && from.ranges != "":
+		return nil, nil, fmt.Errorf("%w: --promql and --translate do not go together", errUsage)
+	case from.translate != "" && !alone:
+		return nil, nil, fmt.Errorf("%w: --translate does not go with RELAY_CONFIG", errUsage)
+	case from.translate != "":
+		return loadTranslation(from.translate, log)
+	case from.ranges == "":
 		cfg, err := platform.Load(env)
 		return cfg, nil, err
 	}
-	file, err := promql.LoadConfig(ranges)
+	file, err := promql.LoadConfig(from.ranges)
 	if err != nil {
 		return nil, nil, err
 	}
-	alone := env("RELAY_CONFIG") == ""
 	var cfg *platform.Config
 	if alone {
 		cfg, err = platform.Alone(file.Standalone())
@@ -162,18 +184,36 @@
 	front, err := promql.New(file, promql.Place{Classes: cfg.Classes, Settings: cfg.Module, Zones: cfg.Zones,
 		Shards: cfg.Shards, DialTimeout: cfg.DialTimeout, ConnIdle: cfg.ConnIdle, Alone: alone, Log: log})
 	if err != nil {
-		return nil, nil, fmt.Errorf("%s: %w", ranges, err)
+		return nil, nil, fmt.Errorf("%s: %w", from.ranges, err)
+	}
+	return cfg, []platform.Extra{front}, nil
+}
+
+// loadTranslation reads the file of the front for old terminals.
+func loadTranslation(path string, log *slog.Logger) (*platform.Config, []platform.Extra, error) {
+	file, err := kiosk.LoadConfig(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	cfg, err := platform.Alone(file.Standalone())
+	if err != nil {
+		return nil, nil, fmt.Errorf("%s: %w", path, err)
+	}
+	cfg.Operator = file.Operator
+	front, err := kiosk.New(file, cfg, log)
+	if err != nil {
+		return nil, nil, fmt.Errorf("%s: %w", path, err)
 	}
 	return cfg, []platform.Extra{front}, nil
 }
 
 // importFile prints the front's file, and to the other stream what there is to say of each line.
-func importFile(path, listen, class string, stdout, stderr io.Writer) error {
+func importFile(path string, into importer.Options, stdout, stderr io.Writer) error {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return err
 	}
-	res, err := importer.Import(string(text), listen, class)
+	res, err := importer.Import(string(text), into)
 	if err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -41,6 +41,7 @@
 	PoolEjected    int64            `json:"pool_ejected"`
 	ConfigApplied  int64            `json:"config_applied"`
 	ConfigRejected int64            `json:"config_rejected"`
+	Unusable       map[string]int64 `json:"unusable,omitempty"` // attempts at new-form nodes, by reason
 }
 
 // State is the coordinator as the door sees it. Ready and Figures must not wait.
--- /dev/null
+++ b/internal/ajp/server.go
@@ -0,0 +1,391 @@
+package ajp
+
+// The listener and its connections. A front keeps connections for long and sends one request at a time on
+// each. One goroutine reads packets, another serves; a packet that comes where none may is the end of the
+// connection.
+
+import (
+	"context"
+	"crypto/subtle"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	lnet "lapislever/internal/net"
+)
+
+// Limits in time. Fronts keep connections open for as long as they like to; what has begun comes to its end.
+const (
+	idleLimit    = 10 * time.Minute
+	requestLimit = 2500 * time.Millisecond
+	writeLimit   = 5 * time.Second
+	waitStep     = 5 * time.Millisecond
+)
+
+// Options are a listener's.
+type Options struct {
+	Size   int    // of a packet, as the front has it; 0: the default
+	Secret string // that every request has to bear; empty: none
+}
+
+// Server accepts fronts' connections and hands their requests over as those of HTTP.
+type Server struct {
+	l       net.Listener
+	o       Options
+	handle  lnet.Handler
+	budget  *lnet.Budget
+	log     *slog.Logger
+	closing atomic.Bool
+	last    atomic.Int64
+	mu      sync.Mutex // guards conns
+	conns   map[*conn]struct{}
+}
+
+// Listen starts to listen on an address and on nothing else.
+func Listen(addr string, o Options, budget *lnet.Budget, log *slog.Logger, h lnet.Handler) (*Server, error) {
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	if o.Size == 0 {
+		o.Size = DefaultSize
+	}
+	return &Server{l: l, o: o, handle: h, budget: budget, log: log, conns: map[*conn]struct{}{}}, nil
+}
+
+// Addr is the address listened on.
+func (s *Server) Addr() string { return s.l.Addr().String() }
+
+// Serve accepts until the listener is closed.
+func (s *Server) Serve() {
+	for {
+		c, err := s.l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			s.log.Warn("accept failed", "err", err)
+			time.Sleep(waitStep)
+			continue
+		}
+		if !s.budget.TakeClient() {
+			s.log.Warn("connection closed: too many are open", "client", c.RemoteAddr())
+			_ = c.Close()
+			continue
+		}
+		k := &conn{s: s, c: c, packets: make(chan packet), over: make(chan struct{})}
+		s.mu.Lock()
+		s.conns[k] = struct{}{}
+		s.mu.Unlock()
+		go k.read()
+		go k.serve()
+	}
+}
+
+// Retire has nothing left to do: a front that asks by CPing learns of the end by the end of the connection.
+func (s *Server) Retire() {}
+
+// StopListening closes the listener; connections go on.
+func (s *Server) StopListening() { _ = s.l.Close() }
+
+// Wind has every reply end its connection from now on.
+func (s *Server) Wind() { s.closing.Store(true) }
+
+// LastRequest is when a request last came.
+func (s *Server) LastRequest() time.Time { return time.Unix(0, s.last.Load()) }
+
+// Finish winds, and closes the connections that carry nothing.
+func (s *Server) Finish() {
+	s.Wind()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if !c.busy.Load() {
+			_ = c.c.Close()
+		}
+	}
+}
+
+// Open counts the connections.
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// Wait waits until every connection has ended, or until the time is over.
+func (s *Server) Wait(most time.Duration) bool {
+	for end := time.Now().Add(most); s.Open() > 0; time.Sleep(waitStep) {
+		if time.Now().After(end) {
+			return false
+		}
+	}
+	return true
+}
+
+// packet is a payload, or why there is none.
+type packet struct {
+	payload []byte
+	err     error
+	begun   bool // its first byte came before the end
+}
+
+type conn struct {
+	s       *Server
+	c       net.Conn
+	packets chan packet
+	over    chan struct{} // closed when serve has ended
+	busy    atomic.Bool   // in the middle of a request
+}
+
+// read takes packets in, one at a time: the next is read only once the last was taken.
+func (c *conn) read() {
+	var head [headerSize]byte
+	for {
+		n, err := io.ReadFull(c.c, head[:])
+		p := packet{err: err, begun: n > 0}
+		if err == nil {
+			var size int
+			if size, p.err = Size(head[:], c.s.o.Size); p.err == nil {
+				p.payload = make([]byte, size)
+				_, p.err = io.ReadFull(c.c, p.payload)
+			}
+		}
+		if p.begun && (errors.Is(p.err, io.EOF) || errors.Is(p.err, io.ErrUnexpectedEOF)) {
+			p.err = broken("a packet that ends too soon")
+		}
+		select {
+		case c.packets <- p:
+		case <-c.over:
+			return
+		}
+		if p.err != nil {
+			return
+		}
+	}
+}
+
+// next waits for a packet.
+func (c *conn) next(limit time.Duration) ([]byte, error) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case p := <-c.packets:
+		return p.payload, p.err
+	case <-timer.C:
+		return nil, errLate
+	}
+}
+
+var errLate = errors.New("nothing came in time")
+
+// serve takes one request after the other.
+func (c *conn) serve() {
+	defer func() {
+		close(c.over)
+		_ = c.c.Close()
+		c.s.mu.Lock()
+		delete(c.s.conns, c)
+		c.s.mu.Unlock()
+		c.s.budget.Release()
+	}()
+	limit := requestLimit // of the first packet: who connects has something to say
+	for {
+		payload, err := c.next(limit)
+		limit = idleLimit
+		if err == nil {
+			c.busy.Store(true)
+			err = c.exchange(payload)
+			c.busy.Store(false)
+		}
+		switch {
+		case err == nil && !c.s.closing.Load():
+			continue
+		case errors.Is(err, ErrPacket):
+			c.s.log.Warn("bad AJP packet", "client", c.c.RemoteAddr(), "why", err)
+		}
+		return
+	}
+}
+
+// errEnd ends the connection without a word of log.
+var errEnd = errors.New("the connection ends")
+
+// exchange takes the packet that begins something.
+func (c *conn) exchange(payload []byte) error {
+	kind, err := Kind(payload)
+	if err != nil {
+		return err
+	}
+	switch kind {
+	case typePing:
+		if len(payload) != 1 {
+			return broken("%d bytes in a CPing", len(payload))
+		}
+		return c.write(AppendPong(nil))
+	case typeForward:
+	case typeShutdown:
+		return broken("a shutdown, which is not taken from anybody")
+	default:
+		return broken("a packet of type %d", kind)
+	}
+	f, err := ParseForward(payload)
+	if err != nil {
+		return err
+	}
+	if want := c.s.o.Secret; want != "" &&
+		subtle.ConstantTimeCompare([]byte(want), []byte(f.Attrs["secret"])) != 1 {
+		c.s.log.Warn("an AJP request without the secret", "client", c.c.RemoteAddr())
+		return c.answer(lnet.Response{Status: 403, Body: []byte("the secret is missing or wrong\n"), Close: true},
+			false)
+	}
+	r := &lnet.Request{Method: f.Method, Path: f.URI, Query: f.Query, Header: textproto.MIMEHeader{}}
+	for _, h := range f.Header {
+		r.Header.Add(h[0], h[1])
+	}
+	if f.Attrs["remote_user"] != "" { // the front's own word, which no client can set
+		r.Header.Set("X-Remote-User", f.Attrs["remote_user"])
+	} else {
+		r.Header.Del("X-Remote-User")
+	}
+	var refused *lnet.BadMessage
+	if r.Body, err = c.body(r.Header); errors.As(err, &refused) {
+		c.s.log.Warn("bad request", "client", c.c.RemoteAddr(), "why", refused.What)
+		return c.answer(lnet.Response{Status: refused.Status, Body: []byte(refused.What + "\n"), Close: true},
+			false)
+	} else if err != nil {
+		return err
+	}
+	r.At = time.Now()
+	c.s.last.Store(r.At.UnixNano())
+	x, reply := lnet.NewExchange()
+	gone := c.s.handle(r, x)
+	leave := func(err error) error {
+		if gone != nil {
+			gone()
+		}
+		return err
+	}
+	select {
+	case resp := <-reply:
+		return c.answer(resp, r.Method == "HEAD")
+	case p := <-c.packets:
+		select {
+		case resp := <-reply: // both at once: the reply comes first
+			_ = c.answer(resp, r.Method == "HEAD")
+			return errEnd
+		default:
+		}
+		if p.err == nil {
+			return leave(broken("a packet where a reply was due"))
+		}
+		if errors.Is(p.err, ErrPacket) {
+			return leave(p.err)
+		}
+		return leave(errEnd) // the front has left
+	}
+}
+
+// body reads a request's body. Of one whose length is told the front sends the first chunk by itself; the
+// others are asked for one by one.
+func (c *conn) body(h textproto.MIMEHeader) ([]byte, error) {
+	refuse := func(status int, format string, args ...any) ([]byte, error) {
+		return nil, &lnet.BadMessage{Status: status, What: fmt.Sprintf(format, args...)}
+	}
+	lengths, codings := h["Content-Length"], h["Transfer-Encoding"]
+	length := -1
+	switch {
+	case len(lengths) > 0 && len(codings) > 0:
+		return refuse(400, "both a length and a transfer coding")
+	case len(codings) > 0 && !strings.EqualFold(codings[0], "chunked"):
+		return refuse(501, "unknown transfer coding")
+	case len(lengths) > 1:
+		return refuse(400, "lengths that differ")
+	case len(lengths) == 1:
+		n, err := strconv.ParseUint(lengths[0], 10, 63)
+		if err != nil {
+			return refuse(400, "malformed length")
+		}
+		if n > lnet.MaxBody {
+			return refuse(413, "the body is larger than %d bytes", lnet.MaxBody)
+		}
+		length = int(n)
+	case len(codings) == 0:
+		return nil, nil
+	}
+	if length == 0 {
+		return nil, nil
+	}
+	until := time.Now().Add(requestLimit)
+	var body []byte
+	chunk := c.s.o.Size - headerSize - 2
+	for first := true; length < 0 || len(body) < length; first = false {
+		if !first || length < 0 {
+			ask := chunk
+			if length >= 0 {
+				ask = min(ask, length-len(body))
+			}
+			if err := c.write(AppendGetBody(nil, ask)); err != nil {
+				return nil, err
+			}
+		}
+		payload, err := c.next(time.Until(until))
+		if errors.Is(err, errLate) {
+			return refuse(408, "the request did not come to its end in time")
+		}
+		if err != nil {
+			return nil, err
+		}
+		part, err := ParseBody(payload)
+		switch {
+		case err != nil:
+			return nil, err
+		case len(part) == 0 && length < 0:
+			return body, nil
+		case len(part) == 0:
+			return refuse(400, "the body ends after %d of %d bytes", len(body), length)
+		case length >= 0 && len(body)+len(part) > length:
+			return nil, broken("more body than was told")
+		case len(body)+len(part) > lnet.MaxBody:
+			return refuse(413, "the body is larger than %d bytes", lnet.MaxBody)
+		}
+		body = append(body, part...)
+	}
+	return body, nil
+}
+
+// answer writes a reply. Where it says so, or the server ends, the connection ends with it.
+func (c *conn) answer(r lnet.Response, headOnly bool) error {
+	kind := r.Type
+	if kind == "" {
+		kind = "text/plain; charset=utf-8"
+	}
+	header := [][2]string{{"Content-Type", kind}, {"Content-Length", strconv.Itoa(len(r.Body))}}
+	header = append(header, r.Header...)
+	b := AppendHeaders(nil, r.Status, lnet.Reason(r.Status), header)
+	if !headOnly {
+		b = AppendBody(b, r.Body, c.s.o.Size)
+	}
+	end := r.Close || c.s.closing.Load()
+	if err := c.write(AppendEnd(b, !end)); err != nil {
+		return err
+	}
+	if end {
+		return errEnd
+	}
+	return nil
+}
+
+func (c *conn) write(b []byte) error {
+	_ = c.c.SetWriteDeadline(time.Now().Add(writeLimit))
+	_, err := c.c.Write(b)
+	return err
+}
--- /dev/null
+++ b/internal/grpcnode/conn.go
@@ -0,0 +1,860 @@
+package grpcnode
+
+// One HTTP/2 connection to a node, as its client. This file owns the streams' lives, flow control, and the
+// exact word on whether a call may have run; it must never send a call again, here or on another connection.
+//
+// The writer goroutine dials and writes; frames are made only as fast as it can write them, so that a call
+// which is not begun can be taken back. The reader goroutine takes frames in. Both hold the mutex only while
+// they look at the state.
+
+import (
+	"bufio"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+
+	"lapislever/balance"
+	"lapislever/internal/core"
+	lnet "lapislever/internal/net"
+	"lapislever/internal/translate"
+)
+
+const (
+	outHigh    = 32 << 10 // bytes that wait to be written, beyond which no call is begun or gone on with
+	outMost    = 128 << 10
+	inFrame    = 16 << 10 // largest frame that we take, the protocol's own default
+	headMost   = 16 << 10 // of a reply's metadata
+	creditAt   = 32 << 10 // bytes read after which the connection's window is refilled
+	windowMost = 1<<31 - 1
+)
+
+// stream is one call.
+type stream struct {
+	a      *core.Attempt
+	until  time.Time // not begun after this
+	by     time.Time // and its last byte not written after this; zero: no such limit
+	body   []byte    // of the request, still to be put into frames
+	head   [][2]string
+	id     uint32
+	window int64
+	ended  bool // the last frame is in the ring
+	whole  bool // and its last byte was written
+	begun  bool // a reply's first head came
+	reply  []byte
+	status int // of HTTP
+	wrote  time.Time
+}
+
+// mark is the place in the output at which a call's last frame ends.
+type mark struct {
+	at uint64
+	s  *stream
+}
+
+// ping is one that is out.
+type ping struct {
+	at    time.Time
+	probe bool // the core waits for it
+}
+
+type conn struct {
+	b *Backend
+	n *node
+
+	mu       sync.Mutex // guards all below
+	c        net.Conn
+	out      *lnet.Ring
+	put      uint64 // bytes put into the ring so far
+	written  uint64
+	marks    []mark
+	waiting  []*stream // not begun
+	sending  []*stream // begun, and not all in frames
+	streams  map[uint32]*stream
+	of       map[*core.Attempt]*stream
+	nextID   uint32
+	pings    map[uint64]*ping
+	nextPing uint64
+	fr       *http2.Framer // writes into the ring
+	enc      *hpack.Encoder
+	block    blockBuffer
+	settled  bool // the server's first settings are in
+	streamsM uint32
+	initial  int64 // window that the server gives a new stream
+	frame    uint32
+	window   int64 // of the connection, for what we send
+	credit   int   // read and not given back yet
+	writing  bool  // what was taken out of the ring, and it is not known yet how much of it
+	retired  bool  // takes nothing new
+	dead     bool
+	used     time.Time
+	heard    time.Time
+	wake     chan struct{}
+}
+
+// blockBuffer takes a head's encoding.
+type blockBuffer struct{ b []byte }
+
+func (w *blockBuffer) Write(p []byte) (int, error) { w.b = append(w.b, p...); return len(p), nil }
+
+// outWriter puts whole frames into the ring.
+type outWriter struct{ c *conn }
+
+func (w outWriter) Write(p []byte) (int, error) {
+	n, err := w.c.out.Write(p)
+	w.c.put += uint64(n)
+	return n, err
+}
+
+func newConn(b *Backend, n *node) *conn {
+	now := time.Now()
+	c := &conn{b: b, n: n, out: lnet.NewRing(outMost), streams: map[uint32]*stream{},
+		of: map[*core.Attempt]*stream{}, nextID: 1, pings: map[uint64]*ping{}, initial: 65535, window: 65535,
+		frame: 16 << 10, streamsM: 1 << 31, used: now, heard: now, wake: make(chan struct{}, 1)}
+	c.fr = http2.NewFramer(outWriter{c}, nil)
+	c.enc = hpack.NewEncoder(&c.block)
+	return c
+}
+
+func (c *conn) poke() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// load is how many calls the connection carries or holds; the caller holds mu.
+func (c *conn) load() int { return len(c.waiting) + len(c.streams) }
+
+// most is how many it may carry at a time; the caller holds mu.
+func (c *conn) most() int { return int(min(uint32(c.b.cfg.Streams), c.streamsM)) }
+
+// add queues a call. It returns false where the connection takes nothing new.
+func (c *conn) add(s *stream) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.dead || c.retired {
+		return false
+	}
+	c.waiting = append(c.waiting, s)
+	c.of[s.a] = s
+	c.used = time.Now()
+	c.poke()
+	return true
+}
+
+// forget drops a call; the caller holds mu.
+func (c *conn) forget(s *stream) {
+	delete(c.of, s.a)
+	if s.id != 0 {
+		delete(c.streams, s.id)
+	}
+	c.waiting = without(c.waiting, s)
+	c.sending = without(c.sending, s)
+	if c.retired {
+		c.poke()
+	}
+}
+
+func without(list []*stream, s *stream) []*stream {
+	for i, x := range list {
+		if x == s {
+			return append(list[:i], list[i+1:]...)
+		}
+	}
+	return list
+}
+
+// cut gives a call up. It returns true where its last byte can never be written, so that it has not run.
+func (c *conn) cut(a *core.Attempt) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.of[a]
+	if s == nil || c.dead {
+		return false
+	}
+	never := !s.ended
+	if s.id != 0 {
+		c.reset(s, http2.ErrCodeCancel)
+	}
+	c.forget(s)
+	if s.whole && time.Since(c.heard) > c.b.cfg.DialTimeout {
+		c.suspect() // nothing comes any more: is anybody there?
+	}
+	return never
+}
+
+// reset ends a stream towards the server; the caller holds mu.
+func (c *conn) reset(s *stream, code http2.ErrCode) {
+	if c.fr.WriteRSTStream(s.id, code) != nil {
+		c.overflow()
+	}
+	c.poke()
+}
+
+// overflow ends a connection whose peer reads nothing while it makes us answer; the caller holds mu.
+func (c *conn) overflow() { go c.end(errors.New("the node does not read")) }
+
+// sendPing writes a ping and returns its number; the caller holds mu.
+func (c *conn) sendPing(probe bool) uint64 {
+	c.nextPing++
+	n := c.nextPing
+	c.pings[n] = &ping{at: time.Now(), probe: probe}
+	var data [8]byte
+	for i := range data {
+		data[i] = byte(n >> (8 * i))
+	}
+	if c.fr.WritePing(false, data) != nil {
+		c.overflow()
+	}
+	c.poke()
+	return n
+}
+
+// suspect looks whether a silent connection still leads anywhere; the caller holds mu.
+func (c *conn) suspect() {
+	if !c.settled || len(c.pings) > 0 {
+		return
+	}
+	n := c.sendPing(false)
+	time.AfterFunc(c.b.cfg.DialTimeout, func() {
+		c.mu.Lock()
+		_, out := c.pings[n]
+		c.mu.Unlock()
+		if out {
+			c.end(errors.New("the node fell silent"))
+		}
+	})
+}
+
+// probe looks at the node beside its queue, by a ping.
+func (c *conn) probe() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.dead {
+		return false
+	}
+	n := c.sendPing(true)
+	time.AfterFunc(c.b.cfg.DialTimeout, func() {
+		c.mu.Lock()
+		p := c.pings[n]
+		delete(c.pings, n)
+		c.mu.Unlock()
+		if p != nil {
+			c.b.probed(c.n, balance.TimedOut, time.Since(p.at))
+		}
+	})
+	return true
+}
+
+// retire lets the connection take nothing new.
+func (c *conn) retire() {
+	c.mu.Lock()
+	c.retired = true
+	c.mu.Unlock()
+	c.poke()
+}
+
+// back takes the calls back that are not begun.
+func (c *conn) back() (list []*core.Attempt) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.dead {
+		return nil
+	}
+	for _, s := range c.waiting {
+		list = append(list, s.a)
+		delete(c.of, s.a)
+	}
+	c.waiting = nil
+	return list
+}
+
+// idle tells that nothing is out on it.
+func (c *conn) idle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.settled && c.load() == 0 && len(c.pings) == 0
+}
+
+// dial opens the socket.
+func (c *conn) dial() (net.Conn, error) {
+	to := c.n.target()
+	raw, err := net.DialTimeout("tcp", to.Address, c.b.cfg.DialTimeout)
+	if err != nil || !to.TLS {
+		return raw, err
+	}
+	t := tls.Client(raw, c.b.keys.Config(to.ServerName))
+	_ = raw.SetDeadline(time.Now().Add(c.b.cfg.DialTimeout))
+	if err := t.Handshake(); err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	_ = raw.SetDeadline(time.Time{})
+	if p := t.ConnectionState().NegotiatedProtocol; p != "h2" {
+		_ = raw.Close()
+		return nil, fmt.Errorf("the node speaks %q, not h2", p)
+	}
+	return t, nil
+}
+
+// run is the writer.
+func (c *conn) run() {
+	sock, err := c.dial()
+	if err != nil {
+		c.end(err)
+		return
+	}
+	c.mu.Lock()
+	if c.dead {
+		c.mu.Unlock()
+		_ = sock.Close()
+		return
+	}
+	c.c = sock
+	_, _ = outWriter{c}.Write([]byte(http2.ClientPreface))
+	err = c.fr.WriteSettings(http2.Setting{ID: http2.SettingEnablePush, Val: 0},
+		http2.Setting{ID: http2.SettingInitialWindowSize, Val: uint32(c.b.replyMost())},
+		http2.Setting{ID: http2.SettingMaxHeaderListSize, Val: headMost})
+	c.mu.Unlock()
+	if err != nil {
+		c.end(err)
+		return
+	}
+	go c.read(sock)
+	limit := c.b.cfg.Idle
+	born := time.Now()
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	var buf []byte
+	for {
+		c.mu.Lock()
+		if c.dead {
+			c.mu.Unlock()
+			return
+		}
+		if !c.settled && time.Since(born) > c.b.cfg.DialTimeout {
+			c.mu.Unlock()
+			c.end(errors.New("the node sent no settings"))
+			return
+		}
+		dropped := c.pump()
+		part := c.out.First()
+		buf = append(buf[:0], part...)
+		quiet := c.load() == 0 && len(c.pings) == 0
+		leave := quiet && len(buf) == 0 && c.settled && (c.retired || time.Since(c.used) >= limit)
+		wait := limit - time.Since(c.used)
+		if !c.settled {
+			wait = c.b.cfg.DialTimeout - time.Since(born) + time.Millisecond
+		} else if n := len(c.waiting); n > 0 { // it may become too late to begin one
+			wait = min(wait, time.Until(c.waiting[0].until))
+		}
+		if leave {
+			c.retired = true
+		}
+		c.writing = len(buf) > 0
+		c.mu.Unlock()
+		for _, s := range dropped {
+			c.b.done(c.n, s.a, translate.Result{Outcome: balance.NotSent}, core.Value{}, nil)
+		}
+		if leave {
+			c.end(nil)
+			return
+		}
+		if len(buf) == 0 {
+			timer.Reset(max(wait, time.Millisecond))
+			select {
+			case <-c.wake:
+			case <-timer.C:
+			}
+			continue
+		}
+		_ = sock.SetWriteDeadline(time.Now().Add(c.b.cfg.WriteLimit))
+		n, err := sock.Write(buf)
+		c.mu.Lock()
+		if c.dead {
+			c.mu.Unlock()
+			return
+		}
+		c.writing = false
+		c.out.Discard(n)
+		c.written += uint64(n)
+		for len(c.marks) > 0 && c.marks[0].at <= c.written {
+			s := c.marks[0].s
+			s.whole, s.wrote = true, time.Now()
+			c.marks = c.marks[1:]
+			c.b.count.Tries.Add(1)
+		}
+		c.used = time.Now()
+		c.mu.Unlock()
+		if err != nil {
+			c.end(err)
+			return
+		}
+	}
+}
+
+// pump makes frames of what may be sent now, and returns the calls for which it is too late; the caller holds
+// mu.
+func (c *conn) pump() (dropped []*stream) {
+	if !c.settled && !c.retired {
+		return nil
+	}
+	now := time.Now()
+	if c.retired { // what is not begun goes back to the module
+		dropped, c.waiting = c.waiting, nil
+		for _, s := range dropped {
+			delete(c.of, s.a)
+		}
+	}
+	for len(c.waiting) > 0 && len(c.streams) < c.most() && c.out.Len() < outHigh && !c.retired {
+		s := c.waiting[0]
+		c.waiting = c.waiting[1:]
+		if late(s, now) {
+			delete(c.of, s.a)
+			dropped = append(dropped, s)
+			continue
+		}
+		s.id, s.window = c.nextID, c.initial
+		c.nextID += 2
+		c.streams[s.id] = s
+		c.sending = append(c.sending, s)
+		c.writeHead(s, now)
+		if c.nextID > windowMost-2 {
+			c.retired = true // ids never come again
+		}
+	}
+	for i := 0; i < len(c.waiting); i++ { // those behind may be late too
+		if s := c.waiting[i]; late(s, now) {
+			c.waiting = append(c.waiting[:i], c.waiting[i+1:]...)
+			delete(c.of, s.a)
+			dropped = append(dropped, s)
+			i--
+		}
+	}
+	for moved := true; moved && c.out.Len() < outHigh; {
+		moved = false
+		for i := 0; i < len(c.sending) && c.out.Len() < outHigh; i++ {
+			s := c.sending[i]
+			if !s.by.IsZero() && now.After(s.by) { // the window of its key: its last byte must not go out any more
+				c.reset(s, http2.ErrCodeCancel)
+				c.forget(s)
+				dropped = append(dropped, s)
+				i--
+				continue
+			}
+			n := min(int64(len(s.body)), int64(c.frame), c.window, s.window)
+			if n <= 0 {
+				continue
+			}
+			end := int(n) == len(s.body)
+			if c.fr.WriteData(s.id, end, s.body[:n]) != nil {
+				c.overflow()
+				return dropped
+			}
+			s.body, moved = s.body[n:], true
+			s.window -= n
+			c.window -= n
+			if end {
+				s.ended = true
+				c.marks = append(c.marks, mark{c.put, s})
+				c.sending = append(c.sending[:i], c.sending[i+1:]...)
+				i--
+			}
+		}
+	}
+	return dropped
+}
+
+func late(s *stream, now time.Time) bool {
+	return !now.Before(s.until) || !s.by.IsZero() && !now.Before(s.by)
+}
+
+// writeHead begins a call; the caller holds mu.
+func (c *conn) writeHead(s *stream, now time.Time) {
+	c.block.b = c.block.b[:0]
+	field := func(name, value string) { _ = c.enc.WriteField(hpack.HeaderField{Name: name, Value: value}) }
+	scheme := "http"
+	to := c.n.target()
+	if to.TLS {
+		scheme = "https"
+	}
+	field(":method", "POST")
+	field(":scheme", scheme)
+	field(":path", Path)
+	field(":authority", to.Address)
+	field("te", "trailers")
+	field("content-type", "application/grpc")
+	field("grpc-timeout", timeoutText(s.until.Sub(now)))
+	for _, h := range s.head {
+		field(h[0], h[1])
+	}
+	rest, first := c.block.b, true
+	for first || len(rest) > 0 {
+		n := min(len(rest), int(c.frame))
+		var err error
+		if first {
+			err = c.fr.WriteHeaders(http2.HeadersFrameParam{StreamID: s.id, BlockFragment: rest[:n],
+				EndHeaders: n == len(rest)})
+		} else {
+			err = c.fr.WriteContinuation(s.id, n == len(rest), rest[:n])
+		}
+		if err != nil {
+			c.overflow()
+			return
+		}
+		rest, first = rest[n:], false
+	}
+}
+
+// end closes the connection and tells how its calls ended.
+func (c *conn) end(err error) {
+	c.n.drop(c)
+	c.mu.Lock()
+	if c.dead {
+		c.mu.Unlock()
+		return
+	}
+	c.dead, c.retired = true, true
+	sock, all, pings, up, writing := c.c, c.of, c.pings, c.settled, c.writing
+	c.of, c.pings, c.streams, c.waiting, c.sending, c.marks = nil, nil, nil, nil, nil, nil
+	c.mu.Unlock()
+	c.poke()
+	if sock != nil {
+		_ = sock.Close()
+	}
+	c.b.budget.Release()
+	if err != nil {
+		c.b.log.Warn("connection to a node ended", "node", c.n.name, "up", up, "calls", len(all), "err", err)
+	}
+	var violation http2.ConnectionError
+	for _, s := range all {
+		r := translate.Result{Outcome: balance.NoConnection}
+		if s.whole || s.ended && writing { // of what is just being written it is not known how far it comes
+			r = translate.Result{Outcome: balance.Reset, Reason: translate.Broken}
+			if errors.As(err, &violation) || errors.Is(err, errProtocol) {
+				r = translate.Result{Outcome: balance.Spoilt, Reason: translate.BadReply}
+			}
+		}
+		c.b.done(c.n, s.a, r, core.Value{}, nil)
+	}
+	for _, p := range pings {
+		if p.probe {
+			o := balance.Reset
+			if !up {
+				o = balance.NoConnection
+			}
+			c.b.probed(c.n, o, time.Since(p.at))
+		}
+	}
+}
+
+// errProtocol marks what breaks the protocol and the Framer does not see.
+var errProtocol = errors.New("protocol")
+
+// read is the reader.
+func (c *conn) read(sock net.Conn) {
+	fr := http2.NewFramer(nil, bufio.NewReaderSize(sock, 4<<10))
+	fr.SetMaxReadFrameSize(inFrame)
+	fr.SetReuseFrames()
+	fr.ReadMetaHeaders = hpack.NewDecoder(4096, nil)
+	fr.MaxHeaderListSize = headMost
+	first := true
+	for {
+		f, err := fr.ReadFrame()
+		var bad http2.StreamError
+		if errors.As(err, &bad) {
+			c.mu.Lock()
+			s := c.streams[bad.StreamID]
+			c.mu.Unlock()
+			if s != nil {
+				c.finish(s, translate.Result{Outcome: balance.Error, Reason: translate.BadReply}, core.Value{}, nil,
+					http2.ErrCodeProtocol)
+			}
+			continue
+		}
+		if err == nil && first {
+			if s, ok := f.(*http2.SettingsFrame); !ok || s.IsAck() {
+				err = fmt.Errorf("%w: the first frame is %v", errProtocol, f.Header().Type)
+			}
+			first = false
+		}
+		if err == nil {
+			c.mu.Lock()
+			c.heard = time.Now()
+			c.mu.Unlock()
+			err = c.take(f)
+		}
+		if err != nil {
+			c.end(err)
+			return
+		}
+	}
+}
+
+// take takes one frame in.
+func (c *conn) take(f http2.Frame) error {
+	switch f := f.(type) {
+	case *http2.SettingsFrame:
+		return c.settings(f)
+	case *http2.PingFrame:
+		return c.pinged(f)
+	case *http2.WindowUpdateFrame:
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		window := &c.window
+		if f.StreamID != 0 {
+			s := c.streams[f.StreamID]
+			if s == nil {
+				return nil // it has ended
+			}
+			window = &s.window
+		}
+		if *window += int64(f.Increment); *window > windowMost {
+			return fmt.Errorf("%w: a window that is too large", errProtocol)
+		}
+		c.poke()
+	case *http2.MetaHeadersFrame:
+		return c.headers(f)
+	case *http2.DataFrame:
+		return c.data(f)
+	case *http2.RSTStreamFrame:
+		c.mu.Lock()
+		s := c.streams[f.StreamID]
+		c.mu.Unlock()
+		if s == nil {
+			return nil
+		}
+		r := translate.Result{Outcome: balance.Reset, Reason: translate.Broken}
+		if f.ErrCode == http2.ErrCodeRefusedStream {
+			r = translate.Result{Outcome: balance.Busy, Reason: translate.Turned}
+		}
+		c.finish(s, r, core.Value{}, nil, http2.ErrCodeNo)
+	case *http2.GoAwayFrame:
+		c.goAway(f)
+	case *http2.PushPromiseFrame:
+		return fmt.Errorf("%w: a push that was not allowed", errProtocol)
+	}
+	return nil
+}
+
+func (c *conn) settings(f *http2.SettingsFrame) error {
+	if f.IsAck() {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if f.HasDuplicates() {
+		return fmt.Errorf("%w: a setting twice", errProtocol)
+	}
+	err := f.ForeachSetting(func(s http2.Setting) error {
+		if err := s.Valid(); err != nil {
+			return err
+		}
+		switch s.ID {
+		case http2.SettingMaxConcurrentStreams:
+			c.streamsM = s.Val
+		case http2.SettingMaxFrameSize:
+			c.frame = min(s.Val, outHigh)
+		case http2.SettingHeaderTableSize:
+			c.enc.SetMaxDynamicTableSizeLimit(min(s.Val, 4096))
+		case http2.SettingInitialWindowSize:
+			by := int64(s.Val) - c.initial
+			c.initial = int64(s.Val)
+			for _, x := range c.streams {
+				if x.window += by; x.window > windowMost {
+					return fmt.Errorf("%w: a window that is too large", errProtocol)
+				}
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	c.settled = true
+	if err := c.fr.WriteSettingsAck(); err != nil {
+		return err
+	}
+	c.poke()
+	return nil
+}
+
+func (c *conn) pinged(f *http2.PingFrame) error {
+	c.mu.Lock()
+	if !f.IsAck() {
+		defer c.mu.Unlock()
+		if err := c.fr.WritePing(true, f.Data); err != nil {
+			return errors.New("the node does not read")
+		}
+		c.poke()
+		return nil
+	}
+	n := uint64(0)
+	for i, x := range f.Data {
+		n |= uint64(x) << (8 * i)
+	}
+	p := c.pings[n]
+	delete(c.pings, n)
+	c.mu.Unlock()
+	if p != nil && p.probe {
+		c.b.probed(c.n, balance.OK, time.Since(p.at))
+	}
+	return nil
+}
+
+// goAway ends what the server has left out; what it covers goes on to its end.
+func (c *conn) goAway(f *http2.GoAwayFrame) {
+	c.mu.Lock()
+	c.retired = true
+	var out []*stream
+	for id, s := range c.streams {
+		if id > f.LastStreamID {
+			out = append(out, s)
+		}
+	}
+	out = append(out, c.waiting...)
+	for _, s := range out {
+		c.forget(s)
+	}
+	c.mu.Unlock()
+	c.poke()
+	c.b.log.Info("a node goes away", "node", c.n.name, "code", f.ErrCode, "left_out", len(out))
+	for _, s := range out {
+		c.b.done(c.n, s.a, translate.Result{Outcome: balance.NotSent, Reason: translate.Turned}, core.Value{}, nil)
+	}
+}
+
+// finish ends a call with its result. Where the server has not ended the stream itself it is reset.
+func (c *conn) finish(s *stream, r translate.Result, v core.Value, report []float32, code http2.ErrCode) {
+	c.mu.Lock()
+	if c.dead || c.streams[s.id] != s {
+		c.mu.Unlock()
+		return
+	}
+	if !s.ended && r.Outcome != balance.OK {
+		r.Outcome = balance.NotSent // its last byte was not written, and now never will be
+	}
+	if code != http2.ErrCodeNo || !s.ended {
+		c.reset(s, code)
+	}
+	c.forget(s)
+	c.used = time.Now()
+	c.mu.Unlock()
+	c.b.done(c.n, s.a, r, v, report)
+}
+
+// stream returns the open stream of a frame; the others have ended, and what still comes for them is passed
+// over.
+func (c *conn) stream(id uint32) *stream {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.streams[id]
+}
+
+func (c *conn) headers(f *http2.MetaHeadersFrame) error {
+	s := c.stream(f.StreamID)
+	if s == nil {
+		if f.StreamID%2 == 0 {
+			return fmt.Errorf("%w: a stream of the server's own", errProtocol)
+		}
+		return nil
+	}
+	bad := func(code http2.ErrCode) error {
+		c.finish(s, translate.Result{Outcome: balance.Error, Reason: translate.BadReply}, core.Value{}, nil, code)
+		return nil
+	}
+	if f.Truncated {
+		return bad(http2.ErrCodeProtocol)
+	}
+	if !s.begun {
+		status, err := strconv.Atoi(f.PseudoValue("status"))
+		if err != nil {
+			return bad(http2.ErrCodeProtocol)
+		}
+		if status >= 100 && status < 200 {
+			return nil
+		}
+		s.begun, s.status = true, status
+	} else if !f.StreamEnded() {
+		return bad(http2.ErrCodeProtocol) // metadata in the middle
+	}
+	kind, code, unseen, coding := "", "", false, ""
+	for _, h := range f.RegularFields() {
+		switch h.Name {
+		case "content-type":
+			kind = h.Value
+		case "grpc-status":
+			code = h.Value
+		case "lapislever-unseen":
+			unseen = h.Value == "1"
+		case "grpc-encoding":
+			coding = h.Value
+		}
+	}
+	if !f.StreamEnded() {
+		if s.status != 200 || !strings.HasPrefix(kind, "application/grpc") {
+			c.finish(s, translate.HTTP(s.status), core.Value{}, nil, http2.ErrCodeCancel)
+		} else if coding != "" && coding != "identity" {
+			c.finish(s, translate.Result{Outcome: balance.Error, Reason: translate.Compressed}, core.Value{}, nil,
+				http2.ErrCodeCancel)
+		}
+		return nil
+	}
+	if code == "" && s.status != 200 {
+		c.finish(s, translate.HTTP(s.status), core.Value{}, nil, http2.ErrCodeNo)
+		return nil
+	}
+	status, known := translate.ParseStatus(code)
+	if !known {
+		c.finish(s, translate.Result{Outcome: balance.Error, Reason: translate.BadStatus}, core.Value{}, nil,
+			http2.ErrCodeNo)
+		return nil
+	}
+	r, v, report := translate.Status(status, unseen), core.Value{}, []float32(nil)
+	if status == translate.OK {
+		r, v, report = c.b.value(s)
+	}
+	c.finish(s, r, v, report, http2.ErrCodeNo)
+	return nil
+}
+
+func (c *conn) data(f *http2.DataFrame) error {
+	size := int(f.Length)
+	c.mu.Lock()
+	if c.credit += size; c.credit >= creditAt {
+		if c.fr.WriteWindowUpdate(0, uint32(c.credit)) != nil {
+			c.mu.Unlock()
+			return errors.New("the node does not read")
+		}
+		c.credit = 0
+		c.poke()
+	}
+	s := c.streams[f.StreamID]
+	c.mu.Unlock()
+	if s == nil {
+		return nil
+	}
+	end := func(why translate.Reason, code http2.ErrCode) error {
+		c.finish(s, translate.Result{Outcome: balance.Error, Reason: why}, core.Value{}, nil, code)
+		return nil
+	}
+	if !s.begun {
+		return end(translate.BadReply, http2.ErrCodeProtocol)
+	}
+	if len(s.reply)+len(f.Data()) > c.b.replyMost() {
+		return end(translate.TooLarge, http2.ErrCodeCancel)
+	}
+	s.reply = append(s.reply, f.Data()...) // one goroutine reads, and only it looks at the reply
+	if f.StreamEnded() {                   // without trailers there is no status
+		return end(translate.BadStatus, http2.ErrCodeNo)
+	}
+	return nil
+}
--- a/internal/importer/importer.go
+++ b/internal/importer/importer.go
@@ -16,6 +16,7 @@
 
 	"github.com/BurntSushi/toml"
 
+	"lapislever/internal/kiosk"
 	"lapislever/internal/promql"
 )
 
@@ -31,11 +32,27 @@
 	Remarks []Remark
 }
 
+// What a file can be made for.
+const (
+	Ranges      = "promql"
+	Translation = "translate"
+)
+
+// Options say what is to be made.
+type Options struct {
+	For    string // Ranges or Translation
+	Listen string // where the front listens; for translation, by AJP
+	Class  string // of range queries
+}
+
 // reader is the state of one import.
 type reader struct {
-	remarks []Remark
-	servers []promql.Server
-	names   map[string]int // to the line of their server
+	to       string
+	draining map[string]bool   // servers that get nothing new
+	ajp      map[string]string // what the front's AJP listener takes over from the workers
+	remarks  []Remark
+	servers  []promql.Server
+	names    map[string]int // to the line of their server
 }
 
 func (r *reader) remark(line int, format string, args ...any) {
@@ -48,8 +65,11 @@
 
 // Import reads a file of either kind. Members of one balancer stand in for each other, so each balancer
 // becomes one cell, in the order of the file.
-func Import(text, listen, class string) (*Result, error) {
-	r := &reader{names: map[string]int{}}
+func Import(text string, o Options) (*Result, error) {
+	if o.For != Ranges && o.For != Translation {
+		return nil, fmt.Errorf("nothing is made for %q: promql or translate", o.For)
+	}
+	r := &reader{to: o.For, names: map[string]int{}, draining: map[string]bool{}, ajp: map[string]string{}}
 	var err error
 	if isApache(text) {
 		err = r.apache(text)
@@ -60,17 +80,43 @@
 		return nil, err
 	}
 	var b bytes.Buffer
-	out := promql.Config{Listen: listen, Class: class, Servers: r.servers}
-	if err := toml.NewEncoder(&b).Encode(out); err != nil {
+	if o.For == Translation {
+		err = toml.NewEncoder(&b).Encode(r.translation(o.Listen))
+	} else {
+		err = toml.NewEncoder(&b).Encode(promql.Config{Listen: o.Listen, Class: o.Class, Servers: r.servers})
+	}
+	if err != nil {
 		return nil, err
 	}
-	if _, err := promql.ParseConfig(b.String()); err != nil { // serve must take what is printed
-		return nil, fmt.Errorf("the list that comes of it is not sound: %w", err)
+	if o.For == Translation { // serve must take what is printed
+		_, err = kiosk.ParseConfig("the list that comes of it", b.String())
+	} else if _, err = promql.ParseConfig(b.String()); err != nil {
+		err = fmt.Errorf("the list that comes of it is not sound: %w", err)
+	}
+	if err != nil {
+		return nil, err
 	}
 	slices.SortStableFunc(r.remarks, func(a, b Remark) int { return a.Line - b.Line })
 	return &Result{File: b.String(), Remarks: r.remarks}, nil
 }
 
+// translation is the file for old terminals: the workers are nodes of the new form, and the front that
+// forwarded to them by AJP forwards to us. The classes are the ledger's, to be looked over.
+func (r *reader) translation(listen string) *kiosk.Config {
+	c := &kiosk.Config{Classes: []kiosk.Class{
+		{Name: "day-report", Effect: "safe", Aim: 3, Deadline: 10, Worth: 5},
+		{Name: "rate-check", Effect: "safe", Aim: 1.5, Deadline: 4, Worth: 1, LateWorth: 0.3},
+		{Name: "exchange-post", Effect: "keyed", Aim: 1.5, Deadline: 3, Window: 3, Worth: 1}}}
+	c.AJP.Listen, c.AJP.Secret = listen, r.ajp["secret"]
+	c.AJP.Packet, _ = strconv.Atoi(r.ajp["max_packet_size"])
+	for _, s := range r.servers {
+		c.Servers = append(c.Servers, kiosk.Server{Name: s.Name, Address: s.Address, Form: kiosk.NewForm,
+			Cell:  s.Cell,
+			Share: s.Share, Draining: r.draining[s.Name]})
+	}
+	return c
+}
+
 var directive = regexp.MustCompile(`(?im)^\s*(<Proxy\s|BalancerMember\s|ProxyPass)`)
 
 func isApache(text string) bool { return directive.MatchString(text) }
@@ -257,6 +303,9 @@
 // unknown reports a worker's settings without counterpart.
 func (r *reader) unknown(name string, w *worker) {
 	for setting, p := range w.props {
+		if r.to == Translation && (setting == "secret" || setting == "max_packet_size") {
+			continue
+		}
 		if !known[setting] {
 			r.remark(p.line, "worker.%s.%s has no counterpart", name, setting)
 		}
@@ -318,7 +367,13 @@
 		if port.value == "" {
 			port.value = map[string]string{"ajp13": "8009", "ajp14": "8011"}[kind.value]
 		}
-		r.remark(kind.line, "worker %s speaks %s: its address is taken, and has to answer HTTP", name, kind.value)
+		if r.to == Translation {
+			r.remark(kind.line,
+				"worker %s speaks %s: its address is taken as a node of the new form, and has to answer gRPC",
+				name, kind.value)
+		} else {
+			r.remark(kind.line, "worker %s speaks %s: its address is taken, and has to answer HTTP", name, kind.value)
+		}
 	default:
 		return malformed(kind.line, "a member of type %q cannot be taken", kind.value)
 	}
@@ -332,11 +387,30 @@
 	switch a := text["activation"]; strings.ToUpper(a.value) {
 	case "A", "ACTIVE":
 	case "D", "DISABLED", "S", "STOPPED":
-		r.remark(a.line, "worker %s is not active (%s), and left out", name, a.value)
-		return nil
+		if r.to != Translation {
+			r.remark(a.line, "worker %s is not active (%s), and left out", name, a.value)
+			return nil
+		}
+		r.draining[text["route"].value] = true
 	default:
 		return malformed(a.line, "activation %q", a.value)
 	}
+	if r.to == Translation {
+		for _, setting := range []string{"secret", "max_packet_size"} {
+			p, ok, err := f.get(name, setting)
+			if err != nil {
+				return err
+			}
+			switch had, before := r.ajp[setting]; {
+			case !ok || before && had == p.value:
+			case before:
+				r.remark(p.line, "worker %s has another %s than those before: the front's listener keeps the first", name,
+					setting)
+			default:
+				r.ajp[setting] = p.value
+			}
+		}
+	}
 	r.member(line, text["route"].value, net.JoinHostPort(text["host"].value, port.value), cell, share)
 	return nil
 }
--- a/internal/importer/importer_test.go
+++ b/internal/importer/importer_test.go
@@ -2,16 +2,18 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
+	"lapislever/internal/kiosk"
 	"lapislever/internal/promql"
 )
 
 // outline writes what an import comes to in one line a server and one a remark.
 func outline(t *testing.T, text string) string {
 	t.Helper()
-	res, err := Import(text, "127.0.0.1:9090", "day-report")
+	res, err := Import(text, Options{Ranges, "127.0.0.1:9090", "day-report"})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -119,7 +121,7 @@
 	f.Add("worker.list=l\nworker.l.type=lb\nworker.l.balance_workers=a\nworker.a.port=$(x)1\n")
 	f.Add("<Proxy balancer://x>\nBalancerMember \"http://a:1/p\" route=b loadfactor=2 \\\n status=-D\n</Proxy>")
 	f.Fuzz(func(t *testing.T, text string) {
-		if res, err := Import(text, "127.0.0.1:1", "c"); err == nil {
+		if res, err := Import(text, Options{Ranges, "127.0.0.1:1", "c"}); err == nil {
 			if c, err := promql.ParseConfig(res.File); err != nil || len(c.Servers) == 0 {
 				t.Fatalf("%v\n%s", err, res.File)
 			}
@@ -162,9 +164,57 @@
 		open + "BalancerMember http://a:1 route=\"\"\n</Proxy>\n":          "line 2",
 		"<Proxy a b>\n</Proxy>\nBalancerMember balancer://x http://a:1\n ": "line 1",
 	} {
-		_, err := Import(text, "127.0.0.1:9090", "day-report")
+		_, err := Import(text, Options{Ranges, "127.0.0.1:9090", "day-report"})
 		if err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%q: %v, want %s", text, err, want)
 		}
 	}
 }
+
+// Workers of mod_jk become nodes of the new form; what the front needs to forward to us comes along.
+func TestWorkersForTranslation(t *testing.T) {
+	const text = `worker.list=ledger
+worker.ledger.type=lb
+worker.ledger.balance_workers=a,b,c
+worker.base.type=ajp13
+worker.base.port=8009
+worker.base.secret=s3cret
+worker.base.max_packet_size=16384
+worker.a.reference=worker.base
+worker.a.host=10.0.0.1
+worker.b.reference=worker.base
+worker.b.host=10.0.0.2
+worker.b.activation=D
+worker.c.reference=worker.base
+worker.c.host=10.0.0.3
+worker.c.secret=other
+worker.c.socket_timeout=3
+`
+	res, err := Import(text, Options{For: Translation, Listen: "127.0.0.1:8009"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := kiosk.ParseConfig("f", res.File)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.AJP.Listen != "127.0.0.1:8009" || c.AJP.Secret != "s3cret" || c.AJP.Packet != 16384 ||
+		len(c.Servers) != 3 {
+		t.Fatalf("%+v", c)
+	}
+	for i, s := range c.Servers {
+		if s.Form != kiosk.NewForm || s.Draining != (i == 1) || s.Address != fmt.Sprintf("10.0.0.%d:8009", i+1) {
+			t.Errorf("%+v", s)
+		}
+	}
+	var lines []int
+	for _, r := range res.Remarks {
+		lines = append(lines, r.Line)
+	}
+	if want := []int{4, 4, 4, 15, 16}; !slices.Equal(lines, want) {
+		t.Errorf("remarks on lines %v, want %v: %+v", lines, want, res.Remarks)
+	}
+	if _, err := Import(text, Options{For: "x"}); err == nil {
+		t.Error("made for nothing known")
+	}
+}
--- /dev/null
+++ b/internal/kiosk/config.go
@@ -0,0 +1,279 @@
+package kiosk
+
+// The front's file.
+
+import (
+	"fmt"
+	"math"
+	"net"
+	"slices"
+	"time"
+
+	"lapislever/internal/ajp"
+	"lapislever/internal/grpcnode"
+	"lapislever/internal/settings"
+)
+
+// The forms of a server.
+const (
+	OldForm = "old"
+	NewForm = "new"
+)
+
+// maxShards bounds what a file may ask for.
+const maxShards = 4096
+
+// Server is one server.
+type Server struct {
+	Name       string   `toml:"name"`
+	Address    string   `toml:"address"`
+	Form       string   `toml:"form"`
+	Zone       string   `toml:"zone,omitempty"`
+	Cell       int      `toml:"cell"`
+	Share      *float64 `toml:"share,omitempty"`
+	Draining   bool     `toml:"draining,omitempty"` // finishes what it has, and gets nothing new
+	TLS        bool     `toml:"tls,omitempty"`
+	ServerName string   `toml:"server_name,omitempty"`
+}
+
+// Class is one class of requests. Times are in seconds.
+type Class struct {
+	Name      string  `toml:"name"`
+	Effect    string  `toml:"effect"` // safe, keyed or unsafe
+	Aim       float64 `toml:"aim_s"`
+	Deadline  float64 `toml:"deadline_s"`
+	Window    float64 `toml:"window_s,omitempty"` // of a keyed class
+	Worth     float64 `toml:"worth"`
+	LateWorth float64 `toml:"late_worth,omitempty"`
+}
+
+// Config is the file.
+type Config struct {
+	Listen   string `toml:"listen,omitempty"`   // for old terminals by HTTP; empty: none
+	Operator string `toml:"operator,omitempty"` // the operators' door
+	Zone     string `toml:"zone,omitempty"`     // ours
+	Shards   int    `toml:"shards,omitempty"`   // 0: one a cell
+	Reach    int    `toml:"reach,omitempty"`
+	Attempts int    `toml:"attempts,omitempty"` // for one part
+
+	AJP struct {
+		Listen string `toml:"listen,omitempty"`
+		Secret string `toml:"secret,omitempty"`
+		Packet int    `toml:"packet,omitempty"`
+	} `toml:"ajp,omitempty"`
+
+	New struct {
+		Streams     int     `toml:"streams,omitempty"`
+		Connections int     `toml:"connections,omitempty"`
+		Queue       int     `toml:"queue,omitempty"`
+		Dial        float64 `toml:"dial_s,omitempty"`
+		Idle        float64 `toml:"idle_s,omitempty"`
+		Write       float64 `toml:"write_s,omitempty"`
+	} `toml:"new,omitempty"`
+
+	TLS struct {
+		CA    string  `toml:"ca,omitempty"`
+		Cert  string  `toml:"cert,omitempty"`
+		Key   string  `toml:"key,omitempty"`
+		Watch float64 `toml:"watch_s,omitempty"` // between looks at the files
+	} `toml:"tls,omitempty"`
+
+	Keys struct {
+		Most     int     `toml:"most,omitempty"`
+		Remember float64 `toml:"remember_s,omitempty"` // past the window
+	} `toml:"keys,omitempty"`
+
+	Classes  []Class        `toml:"class"`
+	Servers  []Server       `toml:"server"`
+	Settings map[string]any `toml:"settings,omitempty"` // over the defaults, by the platform's names
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// LoadConfig reads the file.
+func LoadConfig(path string) (*Config, error) {
+	c := &Config{}
+	f, err := settings.Load(path, c)
+	if err != nil {
+		return nil, err
+	}
+	return c, c.check(f)
+}
+
+// ParseConfig reads a text as that file.
+func ParseConfig(name, text string) (*Config, error) {
+	c := &Config{}
+	f, err := settings.Parse(name, text, c)
+	if err != nil {
+		return nil, err
+	}
+	return c, c.check(f)
+}
+
+func orElse[T comparable](v *T, otherwise T) {
+	var zero T
+	if *v == zero {
+		*v = otherwise
+	}
+}
+
+// check fills in what is left out, and notes all that is wrong.
+func (c *Config) check(f *settings.File) error {
+	orElse(&c.Reach, 1)
+	orElse(&c.Attempts, 4)
+	orElse(&c.AJP.Packet, ajp.DefaultSize)
+	orElse(&c.New.Streams, 32)
+	orElse(&c.New.Connections, 2)
+	orElse(&c.New.Queue, 64)
+	orElse(&c.New.Dial, 0.5)
+	orElse(&c.New.Idle, 60)
+	orElse(&c.New.Write, 1)
+	orElse(&c.TLS.Watch, 10)
+	orElse(&c.Keys.Most, 100_000)
+	orElse(&c.Keys.Remember, 60)
+
+	address := func(key, text string) {
+		if _, port, err := net.SplitHostPort(text); err != nil || port == "" {
+			f.Fault(key, "%q is not host:port", text)
+		}
+	}
+	span := func(key string, s, least, most float64) {
+		f.Check(s >= least && s <= most, key, "%g s is not within %g and %g", s, least, most)
+	}
+	f.Check(c.Listen != "" || c.AJP.Listen != "", "listen", "is missing, and ajp.listen too: nobody could call")
+	taken := map[string]string{}
+	for _, l := range []struct{ key, at string }{{"listen", c.Listen}, {"ajp.listen", c.AJP.Listen},
+		{"operator", c.Operator}} {
+		if l.at == "" {
+			continue
+		}
+		address(l.key, l.at)
+		if _, port, _ := net.SplitHostPort(l.at); port != "0" {
+			f.Check(taken[l.at] == "", l.key, "%s is taken by %s", l.at, taken[l.at])
+			taken[l.at] = l.key
+		}
+	}
+	f.Check(c.AJP.Packet >= 1024 && c.AJP.Packet <= ajp.LargestSize, "ajp.packet",
+		"%d is not within 1024 and %d",
+		c.AJP.Packet, ajp.LargestSize)
+	f.Check(c.New.Streams >= 1 && c.New.Streams <= 1000, "new.streams", "%d is not within 1 and 1000",
+		c.New.Streams)
+	f.Check(c.New.Connections >= 1 && c.New.Connections <= 64, "new.connections", "%d is not within 1 and 64",
+		c.New.Connections)
+	f.Check(c.New.Queue >= 0 && c.New.Queue <= 10_000, "new.queue", "%d is not within 0 and 10000", c.New.Queue)
+	span("new.dial_s", c.New.Dial, 0.01, 10)
+	span("new.idle_s", c.New.Idle, 0.1, 3600)
+	span("new.write_s", c.New.Write, 0.01, 10)
+	span("tls.watch_s", c.TLS.Watch, 0.1, 3600)
+	span("keys.remember_s", c.Keys.Remember, 0, 86400)
+	f.Check(c.Keys.Most >= 1, "keys.most", "%d leaves room for no key", c.Keys.Most)
+	f.Check((c.TLS.Cert == "") == (c.TLS.Key == ""), "tls.cert", "cert and key go together")
+	f.Check(c.TLS.Cert == "" || c.TLS.CA != "", "tls.ca", "is missing")
+	f.Check(c.Attempts >= 1 && c.Attempts <= 16, "attempts", "%d is not within 1 and 16", c.Attempts)
+
+	f.Check(len(c.Classes) > 0, "class", "no [[class]] is given")
+	names := map[string]bool{}
+	for i := range c.Classes {
+		k := &c.Classes[i]
+		at := fmt.Sprintf("class[%d]", i+1)
+		f.Check(k.Name != "" && !names[k.Name], at+".name", "is missing or taken")
+		names[k.Name] = true
+		f.Check(slices.Contains([]string{"safe", "keyed", "unsafe"}, k.Effect), at+".effect",
+			"%q is not safe, keyed or unsafe", k.Effect)
+		span(at+".deadline_s", k.Deadline, 0.01, 3600)
+		f.Check(k.Aim > 0 && k.Aim <= k.Deadline, at+".aim_s", "%g is not above 0 and within the deadline", k.Aim)
+		// A send of the old form may wait for a connection: of a shorter window nothing would be left for it.
+		f.Check(k.Effect != "keyed" || k.Window >= 1, at+".window_s", "%g s: a keyed class needs 1 s at least",
+			k.Window)
+		f.Check(k.Effect == "keyed" || k.Window == 0, at+".window_s", "only a keyed class has a window")
+		f.Check(k.Worth > 0 && k.LateWorth >= 0 && k.LateWorth <= 1, at+".worth",
+			"worth or late_worth is not possible")
+	}
+
+	f.Check(len(c.Servers) > 0, "server", "no [[server]] is given")
+	names = map[string]bool{}
+	cells := 0
+	for i := range c.Servers {
+		s := &c.Servers[i]
+		at := fmt.Sprintf("server[%d]", i+1)
+		f.Check(s.Name != "" && !names[s.Name], at+".name", "is missing or taken")
+		names[s.Name] = true
+		address(at+".address", s.Address)
+		f.Check(s.Form == OldForm || s.Form == NewForm, at+".form", "%q is not old or new", s.Form)
+		f.Check(!s.TLS || s.Form == NewForm, at+".tls", "the old form knows no TLS")
+		f.Check(!s.TLS || c.TLS.CA != "", at+".tls", "tls.ca is missing")
+		f.Check(s.ServerName == "" || s.TLS, at+".server_name", "is of no use without tls")
+		f.Check(s.Cell >= 0 && s.Cell < maxShards, at+".cell", "%d is not possible", s.Cell)
+		f.Check(s.Share == nil || *s.Share > 0 && *s.Share < math.MaxFloat32, at+".share", "is not possible")
+		if s.ServerName == "" && s.TLS {
+			s.ServerName, _, _ = net.SplitHostPort(s.Address)
+		}
+		cells = max(cells, s.Cell+1)
+	}
+	if cells > 0 && cells <= maxShards {
+		held := make([]bool, cells)
+		for _, s := range c.Servers {
+			if s.Cell >= 0 {
+				held[s.Cell] = true
+			}
+		}
+		if i := slices.Index(held, false); i >= 0 && c.Reach == 1 {
+			f.Fault("server", "no server is in cell %d", i)
+		}
+		f.Check(c.Reach >= 1 && c.Reach <= cells, "reach", "%d is not within 1 and the %d cells", c.Reach, cells)
+	}
+	orElse(&c.Shards, cells)
+	f.Check(c.Shards >= 1 && c.Shards <= maxShards, "shards", "%d is not within 1 and %d", c.Shards, maxShards)
+	return f.Err()
+}
+
+// zones are the servers' rooms, ours among them.
+func (c *Config) zones() []string {
+	list := []string{c.Zone}
+	for _, s := range c.Servers {
+		if !slices.Contains(list, s.Zone) {
+			list = append(list, s.Zone)
+		}
+	}
+	return list
+}
+
+// Standalone is the settings object, in the platform's names.
+func (c *Config) Standalone() map[string]any {
+	cells, held := 1, 0
+	for _, s := range c.Servers {
+		cells = max(cells, s.Cell+1)
+	}
+	effects := map[string]string{"safe": "read_like", "keyed": "idempotency_key", "unsafe": "non_idempotent"}
+	var lanes, zones []any
+	for _, k := range c.Classes {
+		lane := map[string]any{"name": k.Name, "goalTimeUs": k.Aim * 1e6, "hardLimitUs": k.Deadline * 1e6,
+			"idempotency": effects[k.Effect], "worth": k.Worth, "lateWorth": k.LateWorth}
+		if k.Effect == "keyed" {
+			lane["windowUs"] = k.Window * 1e6
+		}
+		lanes = append(lanes, lane)
+	}
+	for _, z := range c.zones() {
+		zones = append(zones, z)
+	}
+	held = max(256, 8*(c.Shards+1))
+	all := map[string]any{
+		"azs": zones, "zone": 0, "peersTotal": 1, "me": 0, "quantumUs": 5000, "membershipMode": "automatic",
+		"callers":   map[string]any{"marksRetry": true},
+		"reporting": map[string]any{"columns": []any{"rps", "waiting"}, "via": "answers"},
+		"extra":     map[string]any{"places": cells, "slices": c.Shards, "reach": c.Reach, "bundleMax": 1},
+		"bounds": map[string]any{"cancel": true, "secondCopies": true, "sendCap": c.Attempts, "probes": true,
+			"retryAfter": true, "maxRetryAfterUs": 2_000_000, "connIdleUs": 15_000_000,
+			"dialTimeoutUs": c.New.Dial * 1e6, "maxOpen": held},
+		"lanes": lanes,
+	}
+	settings.Overlay(all, c.Settings)
+	return all
+}
+
+// bounds are the limits of connections to new-form nodes.
+func (c *Config) bounds(most int) grpcnode.Config {
+	return grpcnode.Config{Streams: c.New.Streams, Conns: c.New.Connections, Queue: c.New.Queue, MaxValue: most,
+		DialTimeout: seconds(c.New.Dial), Idle: seconds(c.New.Idle), WriteLimit: seconds(c.New.Write)}
+}
--- /dev/null
+++ b/internal/kiosk/kiosk_test.go
@@ -0,0 +1,275 @@
+package kiosk
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/net/http2"
+
+	"lapislever/internal/core"
+	lnet "lapislever/internal/net"
+	"lapislever/internal/platform"
+	"lapislever/internal/standin"
+)
+
+const classes = `
+[[class]]
+name = "rate-check"
+effect = "safe"
+aim_s = 1.5
+deadline_s = 4.0
+worth = 1.0
+[[class]]
+name = "exchange-post"
+effect = "keyed"
+aim_s = 1.5
+deadline_s = 3.0
+window_s = 3.0
+worth = 1.0
+`
+
+// server is a line of the file.
+func server(name, addr, form string, cell int, more ...string) string {
+	return fmt.Sprintf("[[server]]\nname = %q\naddress = %q\nform = %q\ncell = %d\n%s\n", name, addr, form, cell,
+		strings.Join(more, "\n"))
+}
+
+// running is a front that serves.
+type running struct {
+	k         *platform.Coordinator
+	f         *Front
+	http, ajp string
+}
+
+// load makes a front of a text.
+func load(t testing.TB, text string) (*platform.Config, *Front) {
+	t.Helper()
+	file, err := ParseConfig("f", text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := platform.Alone(file.Standalone())
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.Operator = file.Operator
+	f, err := New(file, cfg, standin.Quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cfg, f
+}
+
+const listeners = "listen = \"127.0.0.1:0\"\n[ajp]\nlisten = \"127.0.0.1:0\"\nsecret = \"s3cret\"\n"
+
+func run(t testing.TB, text string, edit ...func(*Front)) *running {
+	t.Helper()
+	cfg, f := load(t, text)
+	for _, e := range edit {
+		e(f)
+	}
+	k, err := platform.Start(cfg, standin.Quiet(), f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { k.Close(); f.router.anew.Close() })
+	r := &running{k: k, f: f}
+	r.http, r.ajp = f.Addrs()
+	standin.Until(t, "readiness", func() bool {
+		return standin.Call(t, r.http, "GET", "/up", nil,
+			"").Status == 200
+	})
+	return r
+}
+
+// request is the old form of a request for some shards.
+func request(id, key string, shards ...int) ([][2]string, string) {
+	items := make([]string, len(shards))
+	for i, s := range shards {
+		items[i] = fmt.Sprintf(`{"slice":%d,"mass":%g}`, s, 1/float64(len(shards)))
+	}
+	head := [][2]string{{"X-Call-Id", id}}
+	if key != "" {
+		head = append(head, [2]string{"Idempotency-Key", key})
+	}
+	return head, fmt.Sprintf(`{"slices":[%s],"filter":"c41e77d0"}`, strings.Join(items, ","))
+}
+
+var calls struct {
+	sync.Mutex
+	n int
+}
+
+// post sends a request by HTTP and returns the reply.
+func (r *running) post(t testing.TB, class, key string, shards ...int) *lnet.Reply {
+	t.Helper()
+	calls.Lock()
+	calls.n++
+	id := fmt.Sprint("c", calls.n)
+	calls.Unlock()
+	head, body := request(id, key, shards...)
+	return standin.Call(t, r.http, "POST", "/"+class, head, body)
+}
+
+// text answers every call with its id.
+func text(c standin.NewCall) standin.NewDo { return standin.NewDo{Text: "v:" + c.ID} }
+
+// An old terminal is answered by new nodes, by HTTP and by AJP, and beside them by an old one.
+func TestOldTerminalsAreServedByNewNodes(t *testing.T) {
+	a := standin.NewGRPC(t, standin.NewOptions{}, text)
+	b := standin.NewGRPC(t, standin.NewOptions{}, text)
+	c := standin.NewNode(t, func(p standin.Part) (string, string) { return "S", "v:" + p.ID })
+	r := run(t, listeners+classes+server("a", a.Addr, "new", 0)+server("b", b.Addr, "new", 1)+
+		server("c", c.Addr, "old", 2))
+	want := func(by string, status int, body string, id string) {
+		t.Helper()
+		var got struct {
+			Entire bool
+			Items  []struct {
+				Slice int
+				Body  string
+			}
+		}
+		if err := json.Unmarshal([]byte(body), &got); err != nil || status != 200 || !got.Entire ||
+			len(got.Items) != 3 {
+			t.Fatalf("%s: %d %s: %v", by, status, body, err)
+		}
+		for i, x := range got.Items {
+			if x.Slice != i || x.Body != fmt.Sprintf("v:%s.%d", id, i) {
+				t.Errorf("%s: %+v", by, x)
+			}
+		}
+	}
+	head, body := request("h1", "", 0, 1, 2)
+	x := standin.Call(t, r.http, "POST", "/rate-check", head, body)
+	want("HTTP", x.Status, string(x.Body), "h1")
+	front := standin.DialAJP(t, r.ajp)
+	for i := range 3 { // on one connection
+		id := fmt.Sprint("a", i)
+		head, body := request(id, "", 0, 1, 2)
+		y, err := front.Call("/rate-check", head, body, "secret", "s3cret")
+		if err != nil || !y.Reuse {
+			t.Fatalf("%+v %v", y, err)
+		}
+		want("AJP", y.Status, y.Body, id)
+	}
+	got := a.Calls()[0]
+	if got.Class != "rate-check" || got.ID != "h1.0" || got.Filter != "c41e77d0" || got.Timeout == "" ||
+		got.Key != "" {
+		t.Errorf("the node got %+v", got)
+	}
+	if x := r.post(t, "exchange-post", "k1", 1); x.Status != 200 {
+		t.Fatalf("%d %s", x.Status, x.Body)
+	}
+	if got := b.Calls(); got[len(got)-1].Key != "k1" {
+		t.Errorf("the node got %+v", got[len(got)-1])
+	}
+	for _, n := range []*standin.GRPCNode{a, b} {
+		if n.Opened() != 1 {
+			t.Errorf("%d connections to a node that needed one", n.Opened())
+		}
+	}
+}
+
+// What has no equivalent, and each status: a definite answer of the old form, and a count by reason.
+func TestWhatHasNoEquivalentFailsByName(t *testing.T) {
+	raw := standin.TextAnswer(0, "x")
+	for name, c := range map[string]struct {
+		do     standin.NewDo
+		status int
+		why    string
+		text   string
+	}{
+		"unknown status":  {standin.NewDo{Status: "42"}, 502, "unknown_status", "failed: unknown_status"},
+		"no number":       {standin.NewDo{Status: "x"}, 502, "unknown_status", "failed: unknown_status"},
+		"unimplemented":   {standin.NewDo{Status: "12"}, 502, "never_possible", "failed: never_possible"},
+		"unauthenticated": {standin.NewDo{Status: "16"}, 502, "denied", "failed: denied"},
+		"no gRPC":         {standin.NewDo{HTTP: 418}, 502, "unreadable_reply", "failed: unreadable_reply"},
+		"other type":      {standin.NewDo{Kind: "text/html"}, 502, "unreadable_reply", "failed: unreadable_reply"},
+		"garbage": {standin.NewDo{Message: []byte{0xff, 0xff}}, 502, "unreadable_reply",
+			"failed: unreadable_reply"},
+		"no value": {standin.NewDo{Message: []byte{}}, 502, "value_kind", "failed: value_kind"},
+		"cut message": {standin.NewDo{Prefix: []byte{0, 0, 0, 9, 9}}, 502, "unreadable_reply",
+			"failed: unreadable_reply"},
+		"compressed": {standin.NewDo{Prefix: []byte{1, 0, 0, 0, byte(len(raw))}}, 502, "compressed",
+			"failed: compressed"},
+		"real": {standin.NewDo{Message: append([]byte{0x21}, make([]byte, 8)...)}, 502, "value_kind",
+			"failed: value_kind"},
+		"other shard": {standin.NewDo{Message: standin.TextAnswer(1, "x")}, 502, "wrong_shard",
+			"failed: wrong_shard"},
+		"not UTF-8": {standin.NewDo{Text: "\xff"}, 502, "text_not_utf8", "failed: text_not_utf8"},
+		"too large": {standin.NewDo{Text: strings.Repeat("x", maxValue+1)}, 502, "too_large",
+			"failed: too_large"},
+		"far too large": {standin.NewDo{Text: strings.Repeat("x", 60<<10)}, 502, "too_large",
+			"failed: too_large"},
+		"internal":     {standin.NewDo{Status: "13"}, 503, "failing", "refused"},
+		"unavailable":  {standin.NewDo{Status: "14"}, 503, "unavailable", "refused"},
+		"turned away":  {standin.NewDo{Status: "8", Unseen: true}, 503, "turned_away", "refused"},
+		"gateway":      {standin.NewDo{HTTP: 503}, 503, "unavailable", "refused"},
+		"reset":        {standin.NewDo{Reset: standin.Code(http2.ErrCodeInternal)}, 503, "unavailable", "refused"},
+		"its deadline": {standin.NewDo{Status: "4"}, 503, "deadline", "refused"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := standin.NewGRPC(t, standin.NewOptions{}, func(standin.NewCall) standin.NewDo { return c.do })
+			r := run(t, listeners+classes+server("a", n.Addr, "new", 0))
+			x := r.post(t, "rate-check", "", 0)
+			if x.Status != c.status || !strings.HasPrefix(string(x.Body), c.text) {
+				t.Errorf("%d %q, want %d %q", x.Status, x.Body, c.status, c.text)
+			}
+			if x.Status == 503 && x.Header.Get("Retry-After") == "" {
+				t.Error("refused without a word on when to come back")
+			}
+			if got := r.f.Figures(); got[c.why] == 0 || len(got) > 1 {
+				t.Errorf("counted as %v, want %s", got, c.why)
+			}
+			// The connection is sound after an answer that could not be used.
+			if n.Opened() > 1 && name != "far too large" {
+				t.Errorf("%d connections", n.Opened())
+			}
+		})
+	}
+}
+
+// figure is a class's count.
+func (r *running) figure(class string, e core.Ending) int64 {
+	return r.f.core.Counts().Class(class).Of(e)
+}
+
+// Figures count each request once, in whichever way it came and ended.
+func TestEachRequestCountsOnce(t *testing.T) {
+	n := standin.NewGRPC(t, standin.NewOptions{}, text)
+	r := run(t, listeners+classes+server("a", n.Addr, "new", 0))
+	r.post(t, "rate-check", "", 0)
+	r.post(t, "rate-check", "", 7) // there is no such shard
+	r.post(t, "none", "", 0)
+	standin.Until(t, "the counts", func() bool {
+		return r.figure("rate-check", core.Answered) == 1 && r.figure("rate-check", core.Failed) == 1
+	})
+}
+
+// A client that leaves, and a deadline that passes: the stream is reset, the terminal gets one answer at
+// most.
+func TestCancelsReachTheStream(t *testing.T) {
+	n := standin.NewGRPC(t, standin.NewOptions{},
+		func(standin.NewCall) standin.NewDo { return standin.NewDo{Silent: true} })
+	r := run(t, listeners+classes+server("a", n.Addr, "new", 0))
+	head, body := request("gone", "", 0)
+	front := standin.DialAJP(t, r.ajp)
+	front.Raw(standin.AJPPacket(standin.AJPForward(4, "/rate-check", append(head,
+		[2]string{"Content-Length", fmt.Sprint(len(body))}), "secret", "s3cret")))
+	front.Raw(standin.AJPPacket(standin.AJPBody([]byte(body))))
+	standin.Until(t, "the call", func() bool { return len(n.Calls()) == 1 })
+	front.Close()
+	standin.Until(t, "the reset", func() bool { return n.Resets() == 1 })
+	head, body = request("late", "", 0)
+	begun := time.Now()
+	x := standin.Call(t, r.http, "POST", "/rate-check", append(head, [2]string{"X-Budget", "0.3"}), body)
+	if x.Status != 503 && x.Status != 504 || time.Since(begun) > 5*time.Second {
+		t.Errorf("%d after %v", x.Status, time.Since(begun))
+	}
+	standin.Until(t, "the second reset", func() bool { return n.Resets() >= 2 })
+}
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -240,8 +240,8 @@
 // TakeServer takes one for a connection to a server.
 func (b *Budget) TakeServer() bool { return b.take(0) }
 
-// takeClient takes one for a client's connection.
-func (b *Budget) takeClient() bool { return b.take(b.kept.Load()) }
+// TakeClient takes one for a client's connection.
+func (b *Budget) TakeClient() bool { return b.take(b.kept.Load()) }
 
 // Limit changes the budget, and how many clients beyond it may be held open to be refused. What is held
 // beyond it stays until it is given back.
@@ -266,6 +266,12 @@
 	once  atomic.Bool
 }
 
+// NewExchange returns an exchange of another carrier's request, and where its reply will come.
+func NewExchange() (*Exchange, <-chan Response) {
+	x := &Exchange{reply: make(chan Response, 1)}
+	return x, x.reply
+}
+
 // Reply hands over the reply. It never blocks; any reply but the first is dropped.
 func (x *Exchange) Reply(r Response) {
 	if x.once.CompareAndSwap(false, true) {
@@ -341,9 +347,9 @@
 			time.Sleep(5 * time.Millisecond)
 			continue
 		}
-		held := s.budget.takeClient()
+		held := s.budget.TakeClient()
 		if !held && s.evict(kept) {
-			held = s.budget.takeClient()
+			held = s.budget.TakeClient()
 		}
 		if !held && s.spare.Add(1) > s.budget.spare.Load() {
 			s.spare.Add(-1)
@@ -722,7 +728,7 @@
 
 // exchange has a request handled and waits for its reply or for the end of the client.
 func (c *serverConn) exchange(req *Request) (Response, bool) {
-	x := &Exchange{reply: make(chan Response, 1)}
+	x, reply := NewExchange()
 	if !c.held {
 		if c.s.TurnedAway != nil {
 			c.s.TurnedAway(req)
@@ -735,7 +741,7 @@
 	c.signal() // the word of an end that came along with the request may have been taken with it
 	for {
 		select {
-		case r := <-x.reply:
+		case r := <-reply:
 			return r, true
 		case <-c.more:
 			c.mu.Lock()
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -484,6 +484,9 @@
 	Born   float64 `json:"born_ms"`
 }
 
+// Host is a line of discovery's list.
+type Host = host
+
 // replicas turns a list into the module's form.
 func (c *Config) replicas(hosts []host) []balance.Replica {
 	out := make([]balance.Replica, 0, len(hosts))
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -36,6 +36,19 @@
 	ready atomic.Bool
 }
 
+// NewFront returns the form of requests without a core behind it, for another front that speaks it.
+func NewFront(cfg *Config, log *slog.Logger, via core.Backend) *Front {
+	f := &Front{log: log, via: via}
+	f.conf.Store(cfg)
+	return f
+}
+
+// Adopt has requests read by a configuration that was taken in.
+func (f *Front) Adopt(cfg *Config) { f.conf.Store(cfg) }
+
+// Parse turns a request into a query, or says what is wrong with it. The query has no client yet.
+func (f *Front) Parse(r *lnet.Request) (*core.Query, *lnet.BadMessage) { return f.parse(r) }
+
 // Serve takes one request.
 func (f *Front) Serve(r *lnet.Request, x *lnet.Exchange) func() {
 	if r.Path == "/up" {
@@ -52,12 +65,12 @@
 	q, err := f.parse(r)
 	if err != nil {
 		f.log.Warn("bad request", "path", r.Path, "status", err.Status, "why", err.What)
-		f.countUnasked(r, ending(err.Status))
+		f.countUnasked(r, EndingOf(err.Status))
 		// The end of the connection: what else comes on it is worth as little, and must not cost more.
 		x.Reply(lnet.Response{Status: err.Status, Body: []byte(err.What + "\n"), Close: true})
 		return nil
 	}
-	q.Client = &client{x: x, log: f.log, count: f.core.Counts().Class(className(r))}
+	q.Client = &client{x: x, log: f.log, count: f.core.Counts().Class(ClassName(r))}
 	if !f.core.Submit(q) {
 		q.Client.Final(core.Final{Ending: core.Refused, RetryAfter: f.core.FullAdvice()})
 		return nil
@@ -72,19 +85,19 @@
 
 // countUnasked counts a reply that the core was not asked for, if the request names a class.
 func (f *Front) countUnasked(r *lnet.Request, e core.Ending) {
-	if class := className(r); f.conf.Load().class(class, r.At) >= 0 {
+	if class := ClassName(r); f.conf.Load().class(class, r.At) >= 0 {
 		f.core.Counts().Class(class).Add(e)
 	}
 }
 
-// className is the class that a request names, known or not.
-func className(r *lnet.Request) string {
+// ClassName is the class that a request names, known or not.
+func ClassName(r *lnet.Request) string {
 	name, _, _ := strings.Cut(strings.TrimPrefix(r.Path, "/"), "/")
 	return name
 }
 
-// ending is what a reply's status means to a client.
-func ending(status int) core.Ending {
+// EndingOf is what a reply's status means to a client.
+func EndingOf(status int) core.Ending {
 	switch status {
 	case 200:
 		return core.Answered
@@ -111,7 +124,7 @@
 		return nil, &lnet.BadMessage{Status: status, What: fmt.Sprintf(format, args...)}
 	}
 	cfg := f.conf.Load()
-	class := cfg.class(className(r), r.At)
+	class := cfg.class(ClassName(r), r.At)
 	if class < 0 {
 		return fail(404, "unknown class")
 	}
@@ -209,7 +222,7 @@
 
 // reply words the final answer, and counts what the client is told.
 func (c *client) reply(r lnet.Response) {
-	c.count.Add(ending(r.Status))
+	c.count.Add(EndingOf(r.Status))
 	c.x.Reply(r)
 }
 
@@ -228,17 +241,7 @@
 func (c *client) Final(f core.Final) {
 	switch f.Ending {
 	case core.Answered:
-		body := answerBody{Entire: f.Whole, Items: make([]answerItem, 0, len(f.Values))}
-		for _, v := range f.Values {
-			body.Items = append(body.Items, answerItem{Slice: v.Shard, Body: string(v.Body)})
-		}
-		b, err := json.Marshal(body)
-		if err != nil || len(b) > lnet.MaxBody {
-			c.log.Warn("an answer is too large", "bytes", len(b), "err", err)
-			c.reply(lnet.Response{Status: 502, Body: []byte("the answer is too large\n")})
-			return
-		}
-		c.reply(lnet.Response{Status: 200, Type: "application/json", Body: b})
+		c.reply(Answer(f, c.log))
 	case core.Refused:
 		c.reply(Refusal(f.RetryAfter))
 	default:
@@ -253,6 +256,20 @@
 	}
 }
 
+// Answer is the reply to a query that was answered.
+func Answer(f core.Final, log *slog.Logger) lnet.Response {
+	body := answerBody{Entire: f.Whole, Items: make([]answerItem, 0, len(f.Values))}
+	for _, v := range f.Values {
+		body.Items = append(body.Items, answerItem{Slice: v.Shard, Body: string(v.Body)})
+	}
+	b, err := json.Marshal(body)
+	if err != nil || len(b) > lnet.MaxBody {
+		log.Warn("an answer is too large", "bytes", len(b), "err", err)
+		return lnet.Response{Status: 502, Body: []byte("the answer is too large\n")}
+	}
+	return lnet.Response{Status: 200, Type: "application/json", Body: b}
+}
+
 // Refusal is a reply that tells when to come back.
 func Refusal(after time.Duration) lnet.Response {
 	r := lnet.Response{Status: 503, Body: []byte("refused for now\n")}
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -146,7 +146,7 @@
 // Learn takes in where nodes are; of a whole list, that the others are gone. It must come before the core
 // hears of them. What is gone is forgotten once nothing of it is out: ids never come again, and would else
 // pile up.
-func (n *Nodes) Learn(hosts []host, whole bool) {
+func (n *Nodes) Learn(hosts []Host, whole bool) {
 	n.mu.Lock()
 	var anew, idle []*nodeConn
 	for _, x := range n.nodes {
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -300,8 +300,8 @@
 	}
 }
 
-// Where a call is work for discovery, a start goes on from the list that was known before it. Asking for the whole
-// list first, many coordinators that start together ask for more lines than discovery gives.
+// Where a call is work for discovery, a start goes on from the list that was known before it. Asking for the
+// whole list first, many coordinators that start together ask for more lines than discovery gives.
 func TestAskedListGoesOnFromTheKnownOne(t *testing.T) {
 	a := standin.NewNode(t, ok)
 	for mode, first := range map[string]string{"automatic": "", "subscribe": "index=41&wait=20000"} {
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -110,8 +110,7 @@
 	for _, x := range extras {
 		backends = append(backends, x.Backend())
 	}
-	k.front = &Front{log: log, via: k.nodes}
-	k.front.conf.Store(cfg)
+	k.front = NewFront(cfg, log, k.nodes)
 	conf := core.Config{Settings: cfg.Module, Seed: cfg.seed(), Backends: backends, Log: log, Counts: counts,
 		Listed: func() { close(k.listed) }}
 	var err error
@@ -246,6 +245,11 @@
 	for name, x := range c.Classes() {
 		f.OK[name], f.Shed[name], f.Errors[name] = x.Of(core.Answered), x.Of(core.Refused), x.Of(core.Failed)
 	}
+	for _, x := range d.k.extras {
+		if t, ok := x.(interface{ Figures() map[string]int64 }); ok {
+			f.Unusable = t.Figures()
+		}
+	}
 	return f
 }
 
@@ -287,6 +291,9 @@
 	}
 	for _, x := range k.extras {
 		x.Settle(fresh.Module)
+		if c, ok := x.(interface{ Conform(*Config) }); ok {
+			c.Conform(fresh)
+		}
 	}
 	for _, name := range kept {
 		k.log.Warn("a change of the configuration takes a restart", "field", name)
--- a/internal/promql/front.go
+++ b/internal/promql/front.go
@@ -24,6 +24,7 @@
 	"lapislever/balance"
 	"lapislever/internal/core"
 	lnet "lapislever/internal/net"
+	"lapislever/internal/settings"
 )
 
 const (
@@ -149,22 +150,10 @@
 		"lanes": []any{map[string]any{"name": c.Class, "goalTimeUs": 3_000_000, "hardLimitUs": 10_000_000,
 			"idempotency": "read_like", "worth": 5, "lateWorth": 0}},
 	}
-	overlay(all, c.Settings)
+	settings.Overlay(all, c.Settings)
 	return all
 }
 
-func overlay(under, over map[string]any) {
-	for k, v := range over {
-		a, ok1 := under[k].(map[string]any)
-		b, ok2 := v.(map[string]any)
-		if ok1 && ok2 {
-			overlay(a, b)
-		} else {
-			under[k] = v
-		}
-	}
-}
-
 // Place is what the front has to know of where it runs.
 type Place struct {
 	Classes     []string
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,207 @@
+// Package settings reads files of TOML and says of each fault in which line it stands and at which key. It
+// owns the form of those messages; what a value may be its users say. A file is taken whole or not at all:
+// all faults are told at once, and none is passed over.
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/BurntSushi/toml"
+)
+
+// File is a file that is being checked.
+type File struct {
+	name   string
+	lines  map[string]int // of keys, with the index of their table where there are several
+	plain  map[string][]int
+	faults []fault
+}
+
+type fault struct {
+	line int
+	text string
+}
+
+// Load reads a file into a value. What is returned collects the faults that the caller finds.
+func Load(path string, into any) (*File, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(path, string(text), into)
+}
+
+// Parse reads a text into a value. Keys that the value has no place for are faults, as a misspelt one would
+// else be lost unseen.
+func Parse(name, text string, into any) (*File, error) {
+	f := &File{name: name, lines: map[string]int{}, plain: map[string][]int{}}
+	f.scan(text)
+	meta, err := toml.Decode(text, into)
+	var bad toml.ParseError
+	if errors.As(err, &bad) {
+		at := bad.Position.Line
+		key := ""
+		if bad.LastKey != "" {
+			key = bad.LastKey + ": "
+		}
+		return nil, fmt.Errorf("%s:%d: %s%s", name, at, key, bad.Message)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	told := map[string]bool{}
+	for _, k := range meta.Undecoded() {
+		key := strings.Join(k, ".")
+		if told[key] {
+			continue
+		}
+		told[key] = true
+		for _, line := range f.plain[key] {
+			f.faults = append(f.faults, fault{line, "unknown key " + key})
+		}
+		if len(f.plain[key]) == 0 {
+			f.faults = append(f.faults, fault{0, "unknown key " + key})
+		}
+	}
+	return f, nil
+}
+
+// scan finds the line of each key. It only has to follow what toml.Decode takes.
+func (f *File) scan(text string) {
+	table, plain, quote, depth := "", "", "", 0
+	counts := map[string]int{}
+	for i, line := range strings.Split(text, "\n") {
+		rest := strings.TrimSpace(line)
+		inside := quote != "" || depth > 0
+		if !inside && strings.HasPrefix(rest, "[") {
+			name, _, _ := strings.Cut(strings.Trim(rest, "["), "]")
+			name = strings.TrimSpace(name)
+			table, plain = name, name
+			if strings.HasPrefix(rest, "[[") {
+				counts[name]++
+				table = fmt.Sprintf("%s[%d]", name, counts[name])
+			} else if parent, child, ok := cutLast(name); ok && counts[parent] > 0 { // of the last of several
+				table = fmt.Sprintf("%s[%d].%s", parent, counts[parent], child)
+			}
+			f.note(table, plain, i+1)
+			continue
+		}
+		if key, _, ok := strings.Cut(rest, "="); ok && !inside && !strings.HasPrefix(rest, "#") {
+			key = strings.Trim(strings.TrimSpace(key), `"'`)
+			at, short := key, key
+			if table != "" {
+				at, short = table+"."+key, plain+"."+key
+			}
+			f.note(at, short, i+1)
+		}
+		quote, depth = follow(rest, quote, depth)
+	}
+}
+
+func cutLast(name string) (before, after string, ok bool) {
+	i := strings.LastIndexByte(name, '.')
+	if i < 0 {
+		return "", "", false
+	}
+	return name[:i], name[i+1:], true
+}
+
+// follow tells whether a line leaves a text or a list open.
+func follow(line, quote string, depth int) (string, int) {
+	for i := 0; i < len(line); i++ {
+		rest := line[i:]
+		if quote != "" {
+			switch {
+			case rest[0] == '\\' && quote[0] == '"':
+				i++
+			case strings.HasPrefix(rest, quote):
+				i += len(quote) - 1
+				quote = ""
+			}
+			continue
+		}
+		switch {
+		case strings.HasPrefix(rest, `"""`), strings.HasPrefix(rest, `'''`):
+			quote = rest[:3]
+			i += 2
+		case rest[0] == '"', rest[0] == '\'':
+			quote = rest[:1]
+		case rest[0] == '#':
+			return "", depth
+		case rest[0] == '[', rest[0] == '{':
+			depth++
+		case rest[0] == ']', rest[0] == '}':
+			depth--
+		}
+	}
+	if len(quote) == 1 { // it does not reach over lines
+		quote = ""
+	}
+	return quote, depth
+}
+
+func (f *File) note(at, plain string, line int) {
+	f.lines[at] = line
+	f.plain[plain] = append(f.plain[plain], line)
+}
+
+// Line is where a key stands, or the table that it would stand in; 0 where there is neither.
+func (f *File) Line(key string) int {
+	for {
+		if line, ok := f.lines[key]; ok {
+			return line
+		}
+		i := strings.LastIndexByte(key, '.')
+		if i < 0 {
+			return 0
+		}
+		key = key[:i]
+	}
+}
+
+// Fault notes what is wrong at a key. Of the tables of a list the key bears the number, from 1:
+// server[2].name.
+func (f *File) Fault(key, format string, args ...any) {
+	f.faults = append(f.faults, fault{f.Line(key), key + ": " + fmt.Sprintf(format, args...)})
+}
+
+// Check notes a fault unless something holds.
+func (f *File) Check(holds bool, key, format string, args ...any) {
+	if !holds {
+		f.Fault(key, format, args...)
+	}
+}
+
+// Err is all that is wrong, in the order of the lines.
+func (f *File) Err() error {
+	if len(f.faults) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(f.faults, func(a, b fault) int { return a.line - b.line })
+	list := make([]error, len(f.faults))
+	for i, x := range f.faults {
+		if x.line > 0 {
+			list[i] = fmt.Errorf("%s:%d: %s", f.name, x.line, x.text)
+		} else {
+			list[i] = fmt.Errorf("%s: %s", f.name, x.text)
+		}
+	}
+	return errors.Join(list...)
+}
+
+// Overlay lays the settings of one object over another's.
+func Overlay(under, over map[string]any) {
+	for k, v := range over {
+		a, ok1 := under[k].(map[string]any)
+		b, ok2 := v.(map[string]any)
+		if ok1 && ok2 {
+			Overlay(a, b)
+		} else {
+			under[k] = v
+		}
+	}
+}
