Show the translator's hard cases by replay, and mend two faults of its streams

Need: the queued issue asks for proof that no movement is executed twice and every request gets one answer, under lost answers, resets, refused streams, GOAWAY, unknown statuses and nodes that swap form.

Found by the new tests: a call that waited for a stream was not begun when one came free (conn.forget woke the writer only to end the connection); pings were written before the preface on a connection that was not up (conn.probe); and, by the measurement, a deadlock of two locks (writeHead asked for the node's address under the connection's lock, Backend.conn the other way). Each has a test that fails without the mend.

--- a/cmd/lapislever/main_test.go
+++ b/cmd/lapislever/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -131,3 +132,27 @@
 	defer l.mu.Unlock()
 	return l.b.String()
 }
+
+// The file that is kept for the front of old terminals is sound, alone; with the platform's it is turned
+// down.
+func TestCheckTranslation(t *testing.T) {
+	none := func(string) string { return "" }
+	var out strings.Builder
+	args := []string{"check", "--translate", "../../deploy/translate.toml"}
+	if err := run(args, &out, io.Discard, none, nil); err != nil || !strings.Contains(out.String(), "sound") {
+		t.Fatalf("%q, %v", out.String(), err)
+	}
+	platform := func(k string) string { return map[string]string{"RELAY_CONFIG": "x"}[k] }
+	if err := run(args, io.Discard, io.Discard, platform, nil); !errors.Is(err, errUsage) {
+		t.Errorf("beside the platform's: %v", err)
+	}
+	bad := filepath.Join(t.TempDir(), "f.toml")
+	if err := os.WriteFile(bad, []byte("listen = \"x\"\nodd = 1\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	err := run([]string{"check", "--translate", bad}, io.Discard, io.Discard, none, nil)
+	if err == nil || !strings.Contains(err.Error(), "f.toml:1: listen: ") ||
+		!strings.Contains(err.Error(), "f.toml:2: unknown key odd") {
+		t.Errorf("a bad file: %v", err)
+	}
+}
--- a/internal/grpcnode/conn.go
+++ b/internal/grpcnode/conn.go
@@ -66,8 +66,9 @@
 }
 
 type conn struct {
-	b *Backend
-	n *node
+	b  *Backend
+	n  *node
+	to Target // as it was when the connection was opened
 
 	mu       sync.Mutex // guards all below
 	c        net.Conn
@@ -113,13 +114,20 @@
 	return n, err
 }
 
+// newConn returns a connection that is not dialled yet; the caller holds the node's mu. Nothing that holds
+// the connection's mu may ask for the node's: a node is looked at first, and its connections under that.
 func newConn(b *Backend, n *node) *conn {
 	now := time.Now()
-	c := &conn{b: b, n: n, out: lnet.NewRing(outMost), streams: map[uint32]*stream{},
+	c := &conn{b: b, n: n, to: n.to, out: lnet.NewRing(outMost), streams: map[uint32]*stream{},
 		of: map[*core.Attempt]*stream{}, nextID: 1, pings: map[uint64]*ping{}, initial: 65535, window: 65535,
 		frame: 16 << 10, streamsM: 1 << 31, used: now, heard: now, wake: make(chan struct{}, 1)}
 	c.fr = http2.NewFramer(outWriter{c}, nil)
 	c.enc = hpack.NewEncoder(&c.block)
+	// The preface comes before whatever else is put in, also before there is a socket. The ring has room for it.
+	_, _ = outWriter{c}.Write([]byte(http2.ClientPreface))
+	_ = c.fr.WriteSettings(http2.Setting{ID: http2.SettingEnablePush, Val: 0},
+		http2.Setting{ID: http2.SettingInitialWindowSize, Val: uint32(b.replyMost())},
+		http2.Setting{ID: http2.SettingMaxHeaderListSize, Val: headMost})
 	return c
 }
 
@@ -158,7 +166,7 @@
 	}
 	c.waiting = without(c.waiting, s)
 	c.sending = without(c.sending, s)
-	if c.retired {
+	if c.retired || len(c.waiting) > 0 {
 		c.poke()
 	}
 }
@@ -286,7 +294,7 @@
 
 // dial opens the socket.
 func (c *conn) dial() (net.Conn, error) {
-	to := c.n.target()
+	to := c.to
 	raw, err := net.DialTimeout("tcp", to.Address, c.b.cfg.DialTimeout)
 	if err != nil || !to.TLS {
 		return raw, err
@@ -319,15 +327,7 @@
 		return
 	}
 	c.c = sock
-	_, _ = outWriter{c}.Write([]byte(http2.ClientPreface))
-	err = c.fr.WriteSettings(http2.Setting{ID: http2.SettingEnablePush, Val: 0},
-		http2.Setting{ID: http2.SettingInitialWindowSize, Val: uint32(c.b.replyMost())},
-		http2.Setting{ID: http2.SettingMaxHeaderListSize, Val: headMost})
 	c.mu.Unlock()
-	if err != nil {
-		c.end(err)
-		return
-	}
 	go c.read(sock)
 	limit := c.b.cfg.Idle
 	born := time.Now()
@@ -356,6 +356,11 @@
 		} else if n := len(c.waiting); n > 0 { // it may become too late to begin one
 			wait = min(wait, time.Until(c.waiting[0].until))
 		}
+		for _, s := range c.sending { // or to end one
+			if !s.by.IsZero() {
+				wait = min(wait, time.Until(s.by)+time.Millisecond)
+			}
+		}
 		if leave {
 			c.retired = true
 		}
@@ -482,7 +487,7 @@
 	c.block.b = c.block.b[:0]
 	field := func(name, value string) { _ = c.enc.WriteField(hpack.HeaderField{Name: name, Value: value}) }
 	scheme := "http"
-	to := c.n.target()
+	to := c.to
 	if to.TLS {
 		scheme = "https"
 	}
--- /dev/null
+++ b/internal/grpcnode/grpcnode_test.go
@@ -0,0 +1,626 @@
+package grpcnode
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"fmt"
+	"math"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/bufbuild/protocompile"
+	"golang.org/x/net/http2"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+	"google.golang.org/protobuf/types/dynamicpb"
+
+	"lapislever/balance"
+	"lapislever/internal/core"
+	lnet "lapislever/internal/net"
+	"lapislever/internal/standin"
+	"lapislever/internal/translate"
+)
+
+// service compiles the .proto.
+func service(t *testing.T) protoreflect.FileDescriptor {
+	t.Helper()
+	c := protocompile.Compiler{Resolver: &protocompile.SourceResolver{}}
+	files, err := c.Compile(context.Background(), "ledger.proto")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return files[0]
+}
+
+// What is written by hand here is what the .proto says, in both directions, and the method has its path.
+func TestMessagesAreThoseOfTheProto(t *testing.T) {
+	file := service(t)
+	s := file.Services().Get(0)
+	if path := fmt.Sprintf("/%s/%s", s.FullName(), s.Methods().Get(0).Name()); path != Path {
+		t.Errorf("the method is %s, called as %s", path, Path)
+	}
+	p := Part{ID: "q.7", Shard: 7, Class: "rate-check", Filter: []byte{0xff, 0}, Micros: 9000,
+		Term: math.MaxUint64}
+	m := dynamicpb.NewMessage(s.Methods().Get(0).Input())
+	if err := proto.Unmarshal(p.Append(nil)[prefixSize:], m); err != nil {
+		t.Fatal(err)
+	}
+	if len(m.GetUnknown()) > 0 {
+		t.Errorf("fields that the .proto has not: % x", m.GetUnknown())
+	}
+	get := func(name string) any {
+		return m.Get(m.Descriptor().Fields().ByName(protoreflect.Name(name))).Interface()
+	}
+	if get("id") != "q.7" || get("shard") != uint32(7) || get("class") != "rate-check" ||
+		string(get("filter").([]byte)) != "\xff\x00" || get("expected_micros") != uint64(9000) ||
+		get("term") != uint64(math.MaxUint64) {
+		t.Errorf("read as %v", m)
+	}
+	out := s.Methods().Get(0).Output()
+	for name, c := range map[string]struct {
+		v    any
+		want translate.Answer
+	}{
+		"text":  {"x", translate.Answer{Shard: 3, Kind: translate.Text, Text: []byte("x")}},
+		"whole": {int64(-5), translate.Answer{Shard: 3, Kind: translate.Whole, Whole: -5}},
+		"real":  {0.5, translate.Answer{Shard: 3, Kind: translate.Real}},
+		"raw":   {[]byte{1}, translate.Answer{Shard: 3, Kind: translate.Raw, Text: []byte{1}}},
+	} {
+		m := dynamicpb.NewMessage(out)
+		set := func(m protoreflect.Message, name string, v any) {
+			m.Set(m.Descriptor().Fields().ByName(protoreflect.Name(name)), protoreflect.ValueOf(v))
+		}
+		set(m, "shard", uint32(3))
+		set(m, name, c.v)
+		load := m.Mutable(out.Fields().ByName("load")).Message()
+		set(load, "requests_a_second", 12.5)
+		set(load, "waiting", uint32(9))
+		b, err := proto.Marshal(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := ParseAnswer(b)
+		c.want.Loaded, c.want.Rate, c.want.Waiting = true, 12.5, 9
+		if err != nil || fmt.Sprintf("%+v", got) != fmt.Sprintf("%+v", c.want) {
+			t.Errorf("%s: %+v, want %+v: %v", name, got, c.want, err)
+		}
+	}
+}
+
+// Any bytes are an answer or an error, and what is read agrees with the library.
+func FuzzAnswer(f *testing.F) {
+	f.Add(standin.TextAnswer(3, "x"))
+	f.Add([]byte{0x08, 0x03, 0x18, 0x09, 0x21, 1, 2, 3, 4, 5, 6, 7, 8, 0x32, 0x02, 0x10, 0x01})
+	f.Add([]byte{0x0b, 0x0c, 0xff})
+	c := protocompile.Compiler{Resolver: &protocompile.SourceResolver{}}
+	files, err := c.Compile(context.Background(), "ledger.proto")
+	if err != nil {
+		f.Fatal(err)
+	}
+	out := files[0].Services().Get(0).Methods().Get(0).Output()
+	f.Fuzz(func(t *testing.T, b []byte) {
+		a, err := ParseAnswer(b)
+		if err != nil {
+			return
+		}
+		m := dynamicpb.NewMessage(out)
+		if proto.Unmarshal(b, m) != nil {
+			return // the library checks more, such as UTF-8, which is looked at later here
+		}
+		if got := m.Get(out.Fields().ByName("shard")).Uint(); got != uint64(a.Shard) {
+			t.Errorf("shard %d, the library says %d", a.Shard, got)
+		}
+		if got := m.Get(out.Fields().ByName("text")).String(); a.Kind == translate.Text && got != string(a.Text) {
+			t.Errorf("text %q, the library says %q", a.Text, got)
+		}
+	})
+}
+
+func TestTimeoutText(t *testing.T) {
+	for d, want := range map[time.Duration]string{0: "1u", time.Second: "1000000u",
+		99 * time.Second:  "99000000u",
+		100 * time.Second: "100000m", 40 * time.Hour: "144000S", 1e6 * time.Hour: "60000000M"} {
+		if got := timeoutText(d); got != want {
+			t.Errorf("%v: %q, want %q", d, got, want)
+		}
+	}
+}
+
+// rig drives a backend without a core.
+type rig struct {
+	t    *testing.T
+	b    *Backend
+	mu   sync.Mutex
+	ends map[*core.Attempt]core.Outcome
+	many map[*core.Attempt]int
+	look []core.ProbeDone
+	n    int
+}
+
+var bounds = Config{Streams: 4, Conns: 1, Queue: 8, MaxValue: 4096, DialTimeout: 2 * time.Second,
+	Idle:       time.Minute,
+	WriteLimit: time.Second}
+
+func newRig(t *testing.T, cfg Config, keys *Keyring, nodes ...Target) *rig {
+	r := &rig{t: t, ends: map[*core.Attempt]core.Outcome{}, many: map[*core.Attempt]int{}}
+	r.b = New(cfg, keys, lnet.NewBudget(50, 0), standin.Quiet(), &core.Counts{}, &translate.Tally{},
+		func(e core.Event) {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			switch e := e.(type) {
+			case core.Outcome:
+				r.ends[e.Attempt] = e
+				r.many[e.Attempt]++
+			case core.ProbeDone:
+				r.look = append(r.look, e)
+			}
+		})
+	r.b.Learn(nodes)
+	t.Cleanup(r.b.Close)
+	return r
+}
+
+func target(n *standin.GRPCNode) Target { return Target{Name: "a", Address: n.Addr} }
+
+// send sends one attempt with a body of so many bytes.
+func (r *rig) send(size int, timeout time.Duration, by ...time.Time) *core.Attempt {
+	r.n++
+	a := &core.Attempt{Query: &core.Query{Name: fmt.Sprint("q", r.n), Text: []byte(strings.Repeat("x", size)),
+		Parts: []core.PartSpec{{Shard: 1}}}, Shard: 1, Replica: core.ServerID("a"), Timeout: timeout}
+	at := time.Time{}
+	if len(by) > 0 {
+		at = by[0]
+	}
+	r.b.SendBy(a.Replica, a, at)
+	return a
+}
+
+func (r *rig) ended(a *core.Attempt) (core.Outcome, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o, ok := r.ends[a]
+	return o, ok
+}
+
+// want waits for an attempt's end.
+func (r *rig) want(what string, a *core.Attempt, o balance.Outcome) {
+	r.t.Helper()
+	standin.Until(r.t, what, func() bool { _, ok := r.ended(a); return ok })
+	if got, _ := r.ended(a); got.Outcome != o {
+		r.t.Errorf("%s: outcome %d, want %d", what, got.Outcome, o)
+	}
+}
+
+func answer(standin.NewCall) standin.NewDo { return standin.NewDo{Text: "v"} }
+func silent(standin.NewCall) standin.NewDo { return standin.NewDo{Silent: true} }
+
+// Whether a call may have run is told exactly, for every way in which it can end without an answer.
+func TestNeverRanOrMayHave(t *testing.T) {
+	second := func(conn int, stream uint32) bool { return stream > 1 }
+	t.Run("refused stream", func(t *testing.T) {
+		n := standin.NewGRPC(t, standin.NewOptions{Refuse: second}, silent)
+		r := newRig(t, bounds, nil, target(n))
+		r.send(10, time.Minute)
+		r.want("a stream that was refused", r.send(10, time.Minute), balance.Busy)
+		if n.Opened() != 1 || len(n.Calls()) != 1 {
+			t.Errorf("%d connections, %d calls: it was sent again", n.Opened(), len(n.Calls()))
+		}
+	})
+	t.Run("left out by GOAWAY", func(t *testing.T) {
+		n := standin.NewGRPC(t, standin.NewOptions{LeaveOut: second}, func(standin.NewCall) standin.NewDo {
+			return standin.NewDo{Text: "v", Wait: 300 * time.Millisecond}
+		})
+		r := newRig(t, bounds, nil, target(n))
+		first := r.send(10, time.Minute)
+		standin.Until(t, "the first call", func() bool { return len(n.Calls()) == 1 })
+		r.want("a stream beyond the last one", r.send(10, time.Minute), balance.NotSent)
+		r.want("the one that it covers", first, balance.OK)
+		r.want("what comes after", r.send(10, time.Minute), balance.OK)
+		if n.Opened() != 2 {
+			t.Errorf("%d connections", n.Opened())
+		}
+		standin.Until(t, "the end of the first connection", func() bool { return n.Open() == 1 })
+	})
+	t.Run("GOAWAY with a covered call", func(t *testing.T) {
+		n := standin.NewGRPC(t, standin.NewOptions{}, func(standin.NewCall) standin.NewDo {
+			return standin.NewDo{Silent: true, GoAway: true}
+		})
+		r := newRig(t, bounds, nil, target(n))
+		a := r.send(10, time.Minute)
+		time.Sleep(50 * time.Millisecond)
+		if o, ok := r.ended(a); ok {
+			t.Fatalf("ended by a GOAWAY that covers it: %+v", o)
+		}
+		n.Drop()
+		r.want("the break after it", a, balance.Reset)
+	})
+	t.Run("break before the last byte", func(t *testing.T) {
+		n := standin.NewGRPC(t, standin.NewOptions{Window: 100, Stingy: true}, answer)
+		r := newRig(t, bounds, nil, target(n))
+		a := r.send(2000, time.Minute)
+		standin.Until(t, "the connection", func() bool { return n.Opened() == 1 })
+		time.Sleep(100 * time.Millisecond)
+		n.Drop()
+		r.want("a call cut short", a, balance.NoConnection)
+	})
+	t.Run("break after the last byte", func(t *testing.T) {
+		n := standin.NewGRPC(t, standin.NewOptions{},
+			func(standin.NewCall) standin.NewDo { return standin.NewDo{Drop: true} })
+		r := newRig(t, bounds, nil, target(n))
+		r.want("a call that ran", r.send(10, time.Minute), balance.Reset)
+	})
+	t.Run("reset by the node", func(t *testing.T) {
+		n := standin.NewGRPC(t, standin.NewOptions{}, func(standin.NewCall) standin.NewDo {
+			return standin.NewDo{Reset: standin.Code(http2.ErrCodeCancel)}
+		})
+		r := newRig(t, bounds, nil, target(n))
+		r.want("a call that may have run", r.send(10, time.Minute), balance.Reset)
+	})
+	t.Run("nobody there", func(t *testing.T) {
+		n := standin.NewGRPC(t, standin.NewOptions{}, answer)
+		n.Close()
+		r := newRig(t, bounds, nil, target(n))
+		r.want("no connection", r.send(10, time.Minute), balance.NoConnection)
+		r.want("no such node", func() *core.Attempt {
+			a := &core.Attempt{Query: &core.Query{Name: "x"}, Replica: core.ServerID("b")}
+			r.b.Send(a.Replica, []*core.Attempt{a})
+			return a
+		}(), balance.NoConnection)
+	})
+	t.Run("no settings", func(t *testing.T) {
+		n := standin.NewGRPC(t, standin.NewOptions{Mute: true}, answer)
+		cfg := bounds
+		cfg.DialTimeout = 100 * time.Millisecond
+		r := newRig(t, cfg, nil, target(n))
+		r.want("a mute node", r.send(10, time.Minute), balance.NoConnection)
+	})
+	t.Run("deadline in the queue", func(t *testing.T) {
+		n := standin.NewGRPC(t, standin.NewOptions{Streams: 1}, silent)
+		r := newRig(t, bounds, nil, target(n))
+		first := r.send(10, time.Minute)
+		standin.Until(t, "the first call", func() bool { return len(n.Calls()) == 1 })
+		r.want("one whose time passed while it waited", r.send(10, 50*time.Millisecond), balance.NotSent)
+		if !r.b.Withdraw(r.send(10, time.Minute)) {
+			t.Error("one that waits may have run")
+		}
+		if r.b.Withdraw(first) {
+			t.Error("one that was written whole has never run")
+		}
+		standin.Until(t, "the reset", func() bool { return n.Resets() == 1 })
+		if len(n.Calls()) != 1 {
+			t.Errorf("%d calls reached the node", len(n.Calls()))
+		}
+	})
+	t.Run("window of its key", func(t *testing.T) {
+		n := standin.NewGRPC(t, standin.NewOptions{Window: 100, Stingy: true}, answer)
+		r := newRig(t, bounds, nil, target(n))
+		a := r.send(2000, time.Minute, time.Now().Add(200*time.Millisecond))
+		r.want("one whose last byte came too late", a, balance.NotSent)
+		standin.Until(t, "the reset", func() bool { return n.Resets() == 1 })
+		if len(n.Calls()) != 0 {
+			t.Error("it came to its end all the same")
+		}
+		r.want("one that comes too late", r.send(10, time.Minute, time.Now().Add(-time.Millisecond)),
+			balance.NotSent)
+	})
+}
+
+// A drain takes back what is not begun, and nothing of it goes out any more.
+func TestStopTakesBackWhatWaits(t *testing.T) {
+	n := standin.NewGRPC(t, standin.NewOptions{Streams: 1}, silent)
+	r := newRig(t, bounds, nil, target(n))
+	r.send(10, time.Minute)
+	standin.Until(t, "the first call", func() bool { return len(n.Calls()) == 1 })
+	b, c := r.send(10, time.Minute), r.send(10, time.Minute)
+	back := r.b.Stop(core.ServerID("a"))
+	if len(back) != 2 || back[0] != b || back[1] != c {
+		t.Fatalf("%d taken back", len(back))
+	}
+	n.Drop()
+	time.Sleep(50 * time.Millisecond)
+	if _, ok := r.ended(b); ok || len(n.Calls()) != 1 {
+		t.Errorf("told of again, or sent: %d calls", len(n.Calls()))
+	}
+}
+
+// Streams, connections and the queue stay within their bounds, and what waits is sent as room comes.
+func TestBoundsOfStreams(t *testing.T) {
+	release := make(chan bool)
+	n := standin.NewGRPC(t, standin.NewOptions{Streams: 3}, func(standin.NewCall) standin.NewDo {
+		<-release
+		return standin.NewDo{Text: "v"}
+	})
+	cfg := bounds
+	cfg.Conns, cfg.Queue = 2, 2
+	r := newRig(t, cfg, nil, target(n))
+	var all []*core.Attempt
+	for i := range 3 {
+		all = append(all, r.send(10, time.Minute))
+		standin.Until(t, "the call", func() bool { return len(n.Calls()) == i+1 })
+	}
+	for i := range 3 { // on a second connection
+		all = append(all, r.send(10, time.Minute))
+		standin.Until(t, "the call", func() bool { return len(n.Calls()) == 4+i })
+	}
+	all = append(all, r.send(10, time.Minute), r.send(10, time.Minute)) // wait
+	r.want("one too many", r.send(10, time.Minute), balance.Busy)
+	time.Sleep(50 * time.Millisecond)
+	if n.Opened() != 2 || len(n.Calls()) != 6 {
+		t.Errorf("%d connections, %d calls", n.Opened(), len(n.Calls()))
+	}
+	close(release)
+	for _, a := range all {
+		r.want("the answer", a, balance.OK)
+	}
+	for a, k := range r.many {
+		if k != 1 {
+			t.Errorf("%s ended %d times", a.Query.Name, k)
+		}
+	}
+}
+
+// A message larger than the windows goes out as the node gives room, next to others.
+func TestFlowControlTowardsTheNode(t *testing.T) {
+	n := standin.NewGRPC(t, standin.NewOptions{Window: 700}, answer)
+	r := newRig(t, bounds, nil, target(n))
+	var all []*core.Attempt
+	for range 12 {
+		all = append(all, r.send(60_000, time.Minute))
+	}
+	for _, a := range all {
+		r.want("the answer", a, balance.OK)
+	}
+	for _, c := range n.Calls() {
+		if len(c.Filter) != 60_000 {
+			t.Errorf("%d bytes came", len(c.Filter))
+		}
+	}
+}
+
+// Sends come from one goroutine while others write and read: none may wait for another for ever. The writer
+// once asked for the node's address under the connection's lock, and Send for the connection under the
+// node's.
+func TestSendsBesideTheWriter(t *testing.T) {
+	n := standin.NewGRPC(t, standin.NewOptions{}, answer)
+	cfg := bounds
+	cfg.Streams, cfg.Conns, cfg.Queue = 100, 2, 1000
+	r := newRig(t, cfg, nil, target(n))
+	done := make(chan bool)
+	go func() {
+		defer close(done)
+		for range 400 {
+			var all []*core.Attempt
+			for range 8 {
+				all = append(all, r.send(10, time.Minute))
+			}
+			for _, a := range all {
+				for _, ok := r.ended(a); !ok; _, ok = r.ended(a) {
+					time.Sleep(20 * time.Microsecond)
+				}
+			}
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(60 * time.Second):
+		t.Fatal("a send or its answer never came to its end")
+	}
+}
+
+// A node that does not read costs its own connection, and no more memory than the bounds.
+func TestNodeThatDoesNotRead(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			fr := http2.NewFramer(c, nil)
+			_ = fr.WriteSettings(http2.Setting{ID: http2.SettingInitialWindowSize, Val: 1 << 30})
+			_ = fr.WriteWindowUpdate(0, 1<<30)
+			for range 200_000 { // each wants an answer
+				if fr.WritePing(false, [8]byte{1}) != nil {
+					return
+				}
+			}
+		}
+	}()
+	cfg := bounds
+	cfg.WriteLimit = 200 * time.Millisecond
+	r := newRig(t, cfg, nil, Target{Name: "a", Address: l.Addr().String()})
+	for range 6 {
+		a := r.send(60_000, time.Minute)
+		standin.Until(t, "its end", func() bool { _, ok := r.ended(a); return ok })
+	}
+	standin.Until(t, "the descriptors", func() bool { return r.b.budget.Used() == 0 })
+}
+
+// A connection on which nothing comes any more is found out by a ping, once a call on it has timed out.
+func TestSilentConnectionIsLeft(t *testing.T) {
+	stuck := make(chan net.Conn, 4)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_ = http2.NewFramer(c, nil).WriteSettings()
+			stuck <- c
+		}
+	}()
+	cfg := bounds
+	cfg.DialTimeout = 100 * time.Millisecond
+	r := newRig(t, cfg, nil, Target{Name: "a", Address: l.Addr().String()})
+	a, b := r.send(10, time.Minute), r.send(10, time.Minute)
+	time.Sleep(250 * time.Millisecond)
+	if r.b.Withdraw(a) {
+		t.Error("one that was written whole has never run")
+	}
+	r.want("the other call", b, balance.Reset)
+	r.send(10, time.Minute)
+	standin.Until(t, "a second connection", func() bool { return len(stuck) == 2 })
+}
+
+func TestProbe(t *testing.T) {
+	n := standin.NewGRPC(t, standin.NewOptions{}, answer)
+	r := newRig(t, bounds, nil, target(n))
+	if !r.b.Probe(core.ServerID("a")) || r.b.Probe(core.ServerID("b")) {
+		t.Fatal("probes of a known and an unknown node")
+	}
+	standin.Until(t, "the probe", func() bool { r.mu.Lock(); defer r.mu.Unlock(); return len(r.look) == 1 })
+	if r.look[0].Outcome != balance.OK || n.Pings() != 1 {
+		t.Errorf("%+v", r.look[0])
+	}
+	r.b.CloseIdle(core.ServerID("a"))
+	standin.Until(t, "the end of the idle connection", func() bool { return n.Open() == 0 })
+}
+
+// authority signs certificates for tests.
+type authority struct {
+	t    *testing.T
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	n    int64
+}
+
+func newAuthority(t *testing.T) *authority {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tmpl := &x509.Certificate{SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "ca"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), IsCA: true,
+		BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, tmpl, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cert, _ := x509.ParseCertificate(der)
+	return &authority{t: t, cert: cert, key: key, n: 1}
+}
+
+func (a *authority) pem() []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: a.cert.Raw})
+}
+
+// issue makes a pair for a name.
+func (a *authority) issue(name string) (cert, key []byte) {
+	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	a.n++
+	tmpl := &x509.Certificate{SerialNumber: big.NewInt(a.n), Subject: pkix.Name{CommonName: name},
+		DNSNames: []string{name}, NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth}}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, a.cert, &k.PublicKey, a.key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	raw, _ := x509.MarshalECPrivateKey(k)
+	return pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}),
+		pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: raw})
+}
+
+// Keys change in service: calls that are open come to their end, new ones go out with the new keys, and a set
+// that does not hold together is turned down whole.
+func TestKeysChangeInService(t *testing.T) {
+	ca := newAuthority(t)
+	dir := t.TempDir()
+	files := KeyFiles{CA: filepath.Join(dir, "ca"), Cert: filepath.Join(dir, "cert"), Key: filepath.Join(dir,
+		"key")}
+	put := func(path string, b []byte) {
+		if err := os.WriteFile(path, b, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	pair := func(name string) { c, k := ca.issue(name); put(files.Cert, c); put(files.Key, k) }
+	put(files.CA, ca.pem())
+	pair("one")
+	keys, err := OpenKeyring(files)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, k := ca.issue("ledger")
+	own, err := tls.X509KeyPair(c, k)
+	if err != nil {
+		t.Fatal(err)
+	}
+	roots := x509.NewCertPool()
+	roots.AddCert(ca.cert)
+	var mu sync.Mutex
+	var names []string
+	release := make(chan bool)
+	n := standin.NewGRPC(t, standin.NewOptions{TLS: &tls.Config{Certificates: []tls.Certificate{own},
+		NextProtos: []string{"h2"}, ClientAuth: tls.RequireAndVerifyClientCert, ClientCAs: roots,
+		VerifyConnection: func(s tls.ConnectionState) error {
+			mu.Lock()
+			defer mu.Unlock()
+			names = append(names, s.PeerCertificates[0].Subject.CommonName)
+			return nil
+		}}}, func(c standin.NewCall) standin.NewDo {
+		if c.Conn == 1 {
+			<-release
+		}
+		return standin.NewDo{Text: "v"}
+	})
+	to := Target{Name: "a", Address: n.Addr, TLS: true, ServerName: "ledger"}
+	r := newRig(t, bounds, keys, to)
+	open := r.send(10, time.Minute)
+	standin.Until(t, "the first call", func() bool { return len(n.Calls()) == 1 })
+	put(files.Key, []byte("broken"))
+	if changed, err := keys.Reload(); changed || err == nil {
+		t.Fatalf("a broken pair was taken: %v %v", changed, err)
+	}
+	if changed, err := keys.Reload(); changed || err != nil {
+		t.Errorf("told of twice: %v %v", changed, err)
+	}
+	other := newAuthority(t)
+	put(files.CA, []byte("nothing"))
+	if changed, err := keys.Reload(); changed || err == nil {
+		t.Fatalf("roots without a certificate were taken: %v %v", changed, err)
+	}
+	put(files.CA, append(other.pem(), ca.pem()...))
+	pair("two")
+	if changed, err := keys.Reload(); !changed || err != nil {
+		t.Fatalf("%v %v", changed, err)
+	}
+	r.b.Rekey()
+	r.want("a call with the new keys", r.send(10, time.Minute), balance.OK)
+	if _, ok := r.ended(open); ok {
+		t.Error("the open call was lost")
+	}
+	close(release)
+	r.want("the open call", open, balance.OK)
+	mu.Lock()
+	defer mu.Unlock()
+	if len(names) != 2 || names[0] != "one" || names[1] != "two" {
+		t.Errorf("the node saw %v", names)
+	}
+	wrong := to
+	wrong.ServerName = "somebody"
+	r.b.Learn([]Target{wrong})
+	r.want("a node of another name", r.send(10, time.Minute), balance.NoConnection)
+}
--- /dev/null
+++ b/internal/kiosk/bench_test.go
@@ -0,0 +1,95 @@
+package kiosk
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"os/exec"
+	"runtime"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"lapislever/internal/core"
+	lnet "lapislever/internal/net"
+	"lapislever/internal/standin"
+)
+
+// TestMain is also the nodes' process of the benchmark, so that what they do is not counted.
+func TestMain(m *testing.M) {
+	if os.Getenv("LAPISLEVER_NODES") == "" {
+		os.Exit(m.Run())
+	}
+	var t nodes
+	a := standin.NewNode(&t, func(standin.Part) (string, string) { return "S", "5be2a07c19f04d63" })
+	b := standin.NewGRPC(&t, standin.NewOptions{}, func(standin.NewCall) standin.NewDo {
+		return standin.NewDo{Text: "5be2a07c19f04d63"}
+	})
+	fmt.Println(a.Addr, b.Addr)
+	_, _ = bufio.NewReader(os.Stdin).ReadString('\n') // until the benchmark ends
+}
+
+// nodes stands in for a test where there is none.
+type nodes struct{ testing.TB }
+
+func (*nodes) Helper()        {}
+func (*nodes) Cleanup(func()) {}
+func (*nodes) Fatal(x ...any) { panic(fmt.Sprint(x...)) }
+
+// BenchmarkPart is what a part costs this process, by the form of its server: a request of the old form with
+// eight parts through front, core, module and backend, over loopback to nodes in another process.
+func BenchmarkPart(b *testing.B) {
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "LAPISLEVER_NODES=1")
+	in, _ := cmd.StdinPipe()
+	out, _ := cmd.StdoutPipe()
+	if err := cmd.Start(); err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = in.Close(); _ = cmd.Wait() }()
+	line, _ := bufio.NewReader(out).ReadString('\n')
+	old, anew, _ := strings.Cut(strings.TrimSpace(line), " ")
+	const parts = 8
+	for form, addr := range map[string]string{OldForm: old, NewForm: anew} {
+		b.Run(form, func(b *testing.B) {
+			text := "shards = 8\n" + listeners + classes + server("a", addr, form, 0) +
+				"[settings.extra]\nplaces = 1\n[settings.bounds]\nmaxOpen = 1000\n"
+			r := run(b, text)
+			c, err := lnet.Dial(r.http, 5*time.Second, 1<<20)
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer c.Close()
+			one := func(i int) {
+				head, body := request(fmt.Sprint("b", i), "", 0, 1, 2, 3, 4, 5, 6, 7)
+				reply, err := c.Do("POST", "/rate-check", "x", head, []byte(body), time.Now().Add(10*time.Second))
+				if err != nil || reply.Status != 200 {
+					b.Fatalf("%+v %v", reply, err)
+				}
+			}
+			for i := range 50 {
+				one(1_000_000 + i)
+			}
+			var before, after syscall.Rusage
+			var m0, m1 runtime.MemStats
+			runtime.ReadMemStats(&m0)
+			_ = syscall.Getrusage(syscall.RUSAGE_SELF, &before)
+			b.ResetTimer()
+			for i := range b.N {
+				one(i)
+			}
+			b.StopTimer()
+			_ = syscall.Getrusage(syscall.RUSAGE_SELF, &after)
+			runtime.ReadMemStats(&m1)
+			cpu := func(r syscall.Rusage) int64 { return r.Utime.Nano() + r.Stime.Nano() }
+			n := float64(b.N * parts)
+			b.ReportMetric(float64(cpu(after)-cpu(before))/n/1000, "cpu-us/part")
+			b.ReportMetric(float64(m1.Mallocs-m0.Mallocs)/n, "allocs/part")
+			b.ReportMetric(float64(m1.TotalAlloc-m0.TotalAlloc)/n, "B/part")
+			if f := r.figure("rate-check", core.Failed); f > 0 {
+				b.Errorf("%d failed", f)
+			}
+		})
+	}
+}
--- a/internal/kiosk/front.go
+++ b/internal/kiosk/front.go
@@ -123,7 +123,7 @@
 			hosts = append(hosts, platform.Host{Host: s.Name, Dial: s.Address, Health: "in_service"})
 		}
 		r := balance.Replica{ID: id, Cell: s.Cell, Zone: slices.Index(zones, s.Zone), State: balance.Ready, Size: 1,
-			Domain: domain(s.Form)}
+			Domain: f.router.domain(s.Form)}
 		if s.Share != nil {
 			r.Size = *s.Share
 		}
--- /dev/null
+++ b/internal/kiosk/replay_test.go
@@ -0,0 +1,213 @@
+package kiosk
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/net/http2"
+
+	"lapislever/internal/core"
+	"lapislever/internal/standin"
+)
+
+// The replay: terminals of the old form post cash movements through nodes that lose answers, reset streams
+// after they have executed, refuse streams, go away, and swap their form midway. Counted at the nodes:
+// executions of a key, over all domains. Counted at the terminals: answers of a request.
+
+// books are what the nodes of one shard know of keys, each form by itself: a repeat is dropped within the
+// window.
+type books struct {
+	mu       sync.Mutex
+	window   time.Duration
+	seen     [2]map[string]time.Time
+	executed map[string]int
+	dropped  int
+	rng      *rand.Rand
+}
+
+func newBooks(seed uint64, window time.Duration) *books {
+	return &books{window: window, seen: [2]map[string]time.Time{{}, {}}, executed: map[string]int{},
+		rng: rand.New(rand.NewPCG(seed, 3))}
+}
+
+// post is one part as a node of a form takes it.
+func (b *books) post(form int, key string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if at, ok := b.seen[form][key]; ok && time.Since(at) < b.window {
+		b.dropped++
+		return
+	}
+	b.seen[form][key] = time.Now()
+	b.executed[key]++
+}
+
+// chance is true for so many in a hundred.
+func (b *books) chance(of int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.rng.IntN(100) < of
+}
+
+// duplicates counts the executions beyond the first of each key.
+func (b *books) duplicates() (keys, again int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, n := range b.executed {
+		keys, again = keys+1, again+n-1
+	}
+	return keys, again
+}
+
+// newNode is a node of the new form that keeps the books and fails in every way.
+func (b *books) newNode(t *testing.T) *standin.GRPCNode {
+	var mu sync.Mutex
+	heads := 0
+	turn := func(every int) func(int, uint32) bool {
+		return func(int, uint32) bool {
+			mu.Lock()
+			defer mu.Unlock()
+			heads++
+			return heads%every == 0
+		}
+	}
+	return standin.NewGRPC(t, standin.NewOptions{Refuse: turn(9), LeaveOut: turn(13)},
+		func(c standin.NewCall) standin.NewDo {
+			b.post(1, c.Key)
+			switch {
+			case b.chance(25): // executed, and the answer is lost
+				return standin.NewDo{Silent: true}
+			case b.chance(30):
+				return standin.NewDo{Reset: standin.Code(http2.ErrCodeInternal)}
+			case b.chance(10):
+				return standin.NewDo{Drop: true}
+			case b.chance(10):
+				return standin.NewDo{Status: "99"}
+			case b.chance(10):
+				return standin.NewDo{Text: "v", GoAway: true}
+			}
+			return standin.NewDo{Text: "v"}
+		})
+}
+
+// oldNode is one of the old form.
+func (b *books) oldNode(t *testing.T) *standin.Node {
+	return standin.NewNode(t, func(p standin.Part) (string, string) {
+		_, key, _ := strings.Cut(p.List, "k=")
+		b.post(0, key)
+		switch {
+		case b.chance(25):
+			return "", ""
+		case b.chance(30):
+			return "E", ""
+		}
+		return "S", "v"
+	})
+}
+
+// replay posts so many movements, each with two retries of its terminal, and counts.
+func replay(t *testing.T, seed uint64, requests int, guarded bool) (dups, answers int,
+	figures map[string]int64) {
+	const window = time.Second
+	b := newBooks(seed, window+500*time.Millisecond)
+	oldA, oldB := b.oldNode(t), b.oldNode(t)
+	newA, newB, newC := b.newNode(t), b.newNode(t), b.newNode(t)
+	file := func(swapped bool) string {
+		text := "attempts = 6\n" + listeners +
+			strings.NewReplacer("window_s = 3.0", "window_s = 1.0").Replace(classes)
+		if swapped {
+			return text + server("a", newA.Addr, "new", 0) + server("b", oldB.Addr, "old", 0) +
+				server("c", newC.Addr, "new", 0)
+		}
+		return text + server("a", oldA.Addr, "old", 0) + server("b", newB.Addr, "new", 0) +
+			server("c", newC.Addr, "new", 0)
+	}
+	r := run(t, file(false), func(f *Front) {
+		if !guarded {
+			f.router.guard = nil
+		}
+	})
+	stop := make(chan bool)
+	var wg, swaps sync.WaitGroup
+	swaps.Add(1)
+	go func() { // nodes swap their form, again and again
+		defer swaps.Done()
+		for swapped := true; ; swapped = !swapped {
+			select {
+			case <-stop:
+				return
+			case <-time.After(150 * time.Millisecond):
+				_, fresh := load(t, file(swapped))
+				r.f.Adopt(fresh)
+			}
+		}
+	}()
+	var mu sync.Mutex
+	odd := map[int]int{}
+	for i := range requests {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			key := fmt.Sprint("key", i)
+			time.Sleep(time.Duration(i) * 5 * time.Millisecond)
+			for try, pause := range []time.Duration{0, 100 * time.Millisecond, 2200 * time.Millisecond} {
+				time.Sleep(pause) // the last one comes past the window
+				head, body := request(fmt.Sprint(key, "-", try), key, 0)
+				if try > 0 {
+					head = append(head, [2]string{"X-Again", "1"})
+				}
+				status := 0
+				if i%2 == 0 {
+					status = standin.Call(t, r.http, "POST", "/exchange-post", head, body).Status
+				} else if y, err := standin.DialAJP(t, r.ajp).Call("/exchange-post", head, body, "secret",
+					"s3cret"); err == nil {
+					status = y.Status
+				}
+				mu.Lock()
+				answers++
+				switch status {
+				case 200, 503, 502, 504, 409:
+				default:
+					odd[status]++
+				}
+				mu.Unlock()
+			}
+		}()
+	}
+	wg.Wait()
+	close(stop)
+	swaps.Wait()
+	if len(odd) > 0 {
+		t.Errorf("answers that no old terminal understands, by status: %v", odd)
+	}
+	told := r.figure("exchange-post", core.Answered) + r.figure("exchange-post", core.Refused) +
+		r.figure("exchange-post", core.Failed)
+	if told != int64(answers) {
+		t.Errorf("%d answers counted, %d came", told, answers)
+	}
+	_, dups = b.duplicates()
+	return dups, answers, r.f.Figures()
+}
+
+func TestReplayOfOldTerminals(t *testing.T) {
+	const requests = 60
+	dups, answers, figures := replay(t, 1, requests, true)
+	if dups != 0 || answers != 3*requests {
+		t.Errorf("%d executions too many, %d answers to %d requests", dups, answers, 3*requests)
+	}
+	for _, why := range []string{"unknown_status", "unavailable", "turned_away", "window_over"} {
+		if figures[why] == 0 {
+			t.Errorf("the replay met no %q: %v", why, figures)
+		}
+	}
+	t.Logf("guarded: %d duplicates, %d answers, %v", dups, answers, figures)
+	dups, answers, figures = replay(t, 1, requests, false)
+	if dups == 0 {
+		t.Error("no duplicate without the guard: the replay shows nothing")
+	}
+	t.Logf("without the guard: %d duplicates, %d answers, %v", dups, answers, figures)
+}
--- a/internal/kiosk/router.go
+++ b/internal/kiosk/router.go
@@ -50,8 +50,8 @@
 }
 
 // domain is what the guard and the module call a form.
-func domain(form string) int {
-	if form == NewForm {
+func (r *router) domain(form string) int {
+	if form == NewForm && r.guard != nil {
 		return 1
 	}
 	return 0
@@ -87,7 +87,7 @@
 	var f flight
 	var by time.Time
 	if form != "" && r.guard != nil && a.Query.Rules.Effect == balance.Keyed {
-		v, token, until := r.guard.Ask(now, a.Query.Key, a.Shard, domain(form), a.Query.Rules.Window)
+		v, token, until := r.guard.Ask(now, a.Query.Key, a.Shard, r.domain(form), a.Query.Rules.Window)
 		if v == translate.Allowed && form == OldForm && until-now < (r.dial+oldSlack).Microseconds() {
 			// It could wait for a connection beyond the window, and nothing there would hold it back.
 			r.guard.Never(now, a.Query.Key, a.Shard, token)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"reflect"
 	"slices"
 	"strings"
 
@@ -56,7 +57,7 @@
 	told := map[string]bool{}
 	for _, k := range meta.Undecoded() {
 		key := strings.Join(k, ".")
-		if told[key] {
+		if told[key] || free(reflect.TypeOf(into), k) {
 			continue
 		}
 		told[key] = true
@@ -70,6 +71,25 @@
 	return f, nil
 }
 
+// free tells that a key lies in a table that takes any: the library counts what is deeper there as not taken.
+func free(t reflect.Type, key []string) bool {
+	for t.Kind() == reflect.Pointer || t.Kind() == reflect.Slice {
+		t = t.Elem()
+	}
+	switch t.Kind() {
+	case reflect.Map:
+		return t.Elem().Kind() == reflect.Interface
+	case reflect.Struct:
+		for i := range t.NumField() {
+			name, _, _ := strings.Cut(t.Field(i).Tag.Get("toml"), ",")
+			if len(key) > 1 && name == key[0] {
+				return free(t.Field(i).Type, key[1:])
+			}
+		}
+	}
+	return false
+}
+
 // scan finds the line of each key. It only has to follow what toml.Decode takes.
 func (f *File) scan(text string) {
 	table, plain, quote, depth := "", "", "", 0
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -27,14 +27,17 @@
 			"f:4: server[2].sub.deep: -3 is under 0"},
 		"absent": {"a = 1\n[[server]]\nsize = 1\nname = \"\"\"\nsize = 4\n[x]\"\"\"\n[[server]]",
 			"f:7: server[2].name: is missing"},
-		"list":     {"l = [\n \"size = 3\", # [\n]\na = -1", "f:4: a: -1 is under 0"},
-		"not TOML": {"a = 1\nb =\n", "f:2: b: expected value"},
-		"type":     {"a = \"x\"", "f"},
+		"list":       {"l = [\n \"size = 3\", # [\n]\na = -1", "f:4: a: -1 is under 0"},
+		"free table": {"[any]\nx = 1\n[any.deep]\ny = 2\n[any.deep.er]\nz = 3", ""},
+		"not TOML":   {"a = 1\nb =\n", "f:2: b: expected value"},
+		"type":       {"a = \"x\"", "f"},
 	} {
 		var v struct {
-			A       int      `toml:"a"`
-			L       []string `toml:"l"`
-			Servers []table  `toml:"server"`
+			A int      `toml:"a"`
+			L []string `toml:"l"`
+
+			Any     map[string]any `toml:"any"`
+			Servers []table        `toml:"server"`
 		}
 		f, err := Parse("f", c.text, &v)
 		if err == nil {
