--- a/cmd/lapislever/main.go
+++ b/cmd/lapislever/main.go
@@ -10,12 +10,15 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strings"
 	"syscall"
+	"time"
 
 	"github.com/spf13/pflag"
 
 	"lapislever/internal/importer"
 	"lapislever/internal/kiosk"
+	lnet "lapislever/internal/net"
 	"lapislever/internal/platform"
 	"lapislever/internal/promql"
 )
@@ -29,6 +32,7 @@
   serve     run one coordinator
   check     validate the configuration and stop
   import    make a file for --promql or --translate of a mod_jk worker file or Apache's balancers
+  admission show | ban PREFIX | pin PREFIX | lift PREFIX, at a coordinator's door
   version   print the version
 
 RELAY_CONFIG names the platform's configuration. With --promql FILE range queries are served too, and without
@@ -67,6 +71,7 @@
 	verbose, files := false, 0
 	var from sources
 	var into importer.Options
+	var door doorCall
 	switch args[0] {
 	case "serve", "check":
 		flags.BoolVarP(&verbose, "verbose", "v", false, "log more")
@@ -77,6 +82,10 @@
 		flags.StringVar(&into.Class, "class", "day-report", "class of range queries")
 		flags.StringVar(&into.For, "for", importer.Ranges, "what the file is for: promql or translate")
 		files = 1
+	case "admission":
+		flags.StringVar(&door.addr, "door", "", "address of the operators' door")
+		flags.DurationVar(&door.span, "for", 10*time.Minute, "how long a ban or a pin holds")
+		files = -1
 	case "version":
 	case "help", "-h", "--help":
 		fmt.Fprint(stdout, usage)
@@ -90,6 +99,9 @@
 	} else if err != nil {
 		return fmt.Errorf("%w: %v", errUsage, err)
 	}
+	if args[0] == "admission" {
+		return door.ask(flags.Args(), stdout)
+	}
 	if flags.NArg() != files {
 		return fmt.Errorf("%w: %s takes %d arguments, not %d", errUsage, args[0], files, flags.NArg())
 	}
@@ -199,7 +211,7 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("%s: %w", path, err)
 	}
-	cfg.Operator = file.Operator
+	cfg.Operator, cfg.Limits.Sockets = file.Operator, file.Sockets
 	front, err := kiosk.New(file, cfg, log)
 	if err != nil {
 		return nil, nil, fmt.Errorf("%s: %w", path, err)
@@ -230,3 +242,40 @@
 	}
 	return "(devel)"
 }
+
+// doorCall is a call to a coordinator's door.
+type doorCall struct {
+	addr string
+	span time.Duration
+}
+
+// ask makes the call and prints its answer.
+func (d doorCall) ask(words []string, stdout io.Writer) error {
+	method, path, body := "GET", "/admin/admission", ""
+	switch {
+	case d.addr == "":
+		return fmt.Errorf("%w: --door is missing", errUsage)
+	case len(words) == 0 || len(words) == 1 && words[0] == "show":
+	case len(words) == 2 && (words[0] == "ban" || words[0] == "pin" || words[0] == "lift"):
+		method, path, body = "POST", path+"/"+words[0], words[1]
+		if words[0] != "lift" {
+			body += " " + d.span.String()
+		}
+	default:
+		return fmt.Errorf("%w: show, or ban, pin or lift with a prefix", errUsage)
+	}
+	c, err := lnet.Dial(d.addr, 5*time.Second, 1<<20)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	reply, err := c.Do(method, path, d.addr, nil, []byte(body), time.Now().Add(5*time.Second))
+	if err != nil {
+		return err
+	}
+	if reply.Status != 200 {
+		return fmt.Errorf("%d: %s", reply.Status, strings.TrimSpace(string(reply.Body)))
+	}
+	_, err = fmt.Fprintln(stdout, strings.TrimSpace(string(reply.Body)))
+	return err
+}
--- a/cmd/lapislever/main_test.go
+++ b/cmd/lapislever/main_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"net/url"
 	"os"
 	"path/filepath"
 	"strings"
@@ -156,3 +157,33 @@
 		t.Errorf("a bad file: %v", err)
 	}
 }
+
+// Words to a door that cannot be said are errors of usage; a door that says no is an error.
+func TestAdmissionCommand(t *testing.T) {
+	none := func(string) string { return "" }
+	for _, args := range [][]string{{"admission"}, {"admission", "--door", "127.0.0.1:1", "throw"},
+		{"admission", "--door", "127.0.0.1:1", "ban"}} {
+		if err := run(args, io.Discard, io.Discard, none, nil); !errors.Is(err, errUsage) {
+			t.Errorf("%v: %v", args, err)
+		}
+	}
+	door := standin.NewHTTP(t, func(path string, _ url.Values) (int, string) {
+		if path == "/admin/admission/ban" {
+			return 400, "no"
+		}
+		return 200, "{}"
+	})
+	var out strings.Builder
+	if err := run([]string{"admission", "--door", door.Addr}, &out, io.Discard, none, nil); err != nil ||
+		out.String() != "{}\n" {
+		t.Errorf("%q, %v", out.String(), err)
+	}
+	err := run([]string{"admission", "--door", door.Addr, "ban", "10.0.0.0/8"}, io.Discard, io.Discard, none,
+		nil)
+	if err == nil || !strings.Contains(err.Error(), "400: no") {
+		t.Errorf("%v", err)
+	}
+	if seen := door.Seen(); len(seen) != 2 || !strings.HasPrefix(seen[1], "/admin/admission/ban?") {
+		t.Errorf("%q", seen)
+	}
+}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
+	"net/netip"
 	"strings"
 	"time"
 
@@ -52,6 +53,73 @@
 	Cordon(id string, out bool, within time.Duration) error
 }
 
+// Gate is who is let in, as far as the door asks.
+type Gate interface {
+	Figures(n int) any
+	Hold(p netip.Prefix, pinned bool, span time.Duration)
+	Lift(p netip.Prefix)
+}
+
+// Gated is a State with a gate, or nil where there is none.
+type Gated interface{ Gate() Gate }
+
+// topMost is how many addresses are shown.
+const topMost = 20
+
+// admission takes a call to the gate. It returns false where there is none, or no such call.
+func (d *Door) admission(r *lnet.Request, x *lnet.Exchange, say func(int, string)) bool {
+	call, ok := strings.CutPrefix(r.Path, "/admin/admission")
+	s, gated := d.state.(Gated)
+	if !ok || !gated || s.Gate() == nil {
+		return false
+	}
+	g := s.Gate()
+	switch call {
+	case "":
+		if r.Method != "GET" {
+			x.Reply(lnet.Response{Status: 405, Header: [][2]string{{"Allow", "GET"}}, Close: true,
+				Body: []byte("use GET\n")})
+			return true
+		}
+		b, err := json.Marshal(g.Figures(topMost))
+		if err != nil {
+			say(500, err.Error())
+			return true
+		}
+		x.Reply(lnet.Response{Status: 200, Type: "application/json", Body: b, Close: true})
+	case "/ban", "/pin", "/lift":
+		if r.Method != "POST" {
+			x.Reply(lnet.Response{Status: 405, Header: [][2]string{{"Allow", "POST"}}, Close: true,
+				Body: []byte("use POST\n")})
+			return true
+		}
+		text, span, _ := strings.Cut(strings.TrimSpace(string(r.Body)), " ")
+		p, err := netip.ParsePrefix(text)
+		if a, aerr := netip.ParseAddr(text); err != nil && aerr == nil {
+			p, err = a.Prefix(a.BitLen())
+		}
+		if err != nil {
+			say(400, "the body has to be a prefix or an address, and for a ban or a pin a time such as 10m")
+			return true
+		}
+		if call == "/lift" {
+			g.Lift(p)
+		} else {
+			t, err := time.ParseDuration(span)
+			if err != nil || t <= 0 || t > 365*24*time.Hour {
+				say(400, "the time has to be one such as 10m, of a year at most")
+				return true
+			}
+			g.Hold(p, call == "/pin", t)
+		}
+		d.log.Info("operator's word on a prefix", "call", call[1:], "prefix", p, "for", span)
+		say(200, "done")
+	default:
+		return false
+	}
+	return true
+}
+
 // Door is an open door.
 type Door struct {
 	server *lnet.Server
@@ -84,6 +152,9 @@
 	say := func(status int, text string) {
 		x.Reply(lnet.Response{Status: status, Body: []byte(text + "\n"), Close: true})
 	}
+	if d.admission(r, x, say) {
+		return nil
+	}
 	method := "GET"
 	if r.Path == "/admin/cordon" || r.Path == "/admin/uncordon" {
 		method = "POST"
--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,368 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"runtime"
+	"testing"
+)
+
+const sec = Micros(1_000_000)
+
+func addr(i int) netip.Addr {
+	return netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)})
+}
+
+// The trie against a scan, over prefixes of both families that come, change and go.
+func TestTrieAgainstAScan(t *testing.T) {
+	for seed := range uint64(30) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		any := func() netip.Addr {
+			if rng.IntN(2) == 0 {
+				return netip.AddrFrom4([4]byte{10, byte(rng.IntN(2)), byte(rng.IntN(4)), byte(rng.IntN(256))})
+			}
+			b := [16]byte{0x20, 1, byte(rng.IntN(2)), 0, 0, 0, 0, byte(rng.IntN(4)), 15: byte(rng.IntN(256))}
+			return netip.AddrFrom16(b)
+		}
+		var trie Trie[int]
+		plain := map[netip.Prefix]*int{}
+		for step := range 2000 {
+			a := any()
+			p := netip.PrefixFrom(a, rng.IntN(a.BitLen()+1)).Masked()
+			switch rng.IntN(4) {
+			case 0:
+				trie.Put(p, nil)
+				delete(plain, p)
+			case 1, 2:
+				v := step
+				trie.Put(p, &v)
+				plain[p] = &v
+			}
+			var want *int
+			best := -1
+			for p, v := range plain {
+				if p.Contains(a) && p.Bits() > best {
+					want, best = v, p.Bits()
+				}
+			}
+			if got := trie.Find(a); got != want {
+				t.Fatalf("seed %d, step %d: %v found, want %v", seed, step, got, want)
+			}
+			if n := 0; trie.Len() != len(plain) {
+				t.Fatalf("%d held, want %d (%d)", trie.Len(), len(plain), n)
+			}
+		}
+	}
+}
+
+func TestCapsRatesAndHolds(t *testing.T) {
+	g := New(Limits{Reserve: 2, Track: 100, Everyone: Rule{Open: 3, Rate: 1, Burst: 2}, Rules: []Rule{
+		{Prefix: netip.MustParsePrefix("10.1.0.0/16"), Known: true, Open: 5},
+		{Prefix: netip.MustParsePrefix("10.2.0.0/16"), Open: 1, All: 2},
+		{Prefix: netip.MustParsePrefix("10.3.0.9/32"), Gateway: true, Rate: 100, Burst: 50}}})
+	at := func(now Micros, a string) Decision {
+		return g.Arrive(now, Arrival{Addr: netip.MustParseAddr(a), Places: 100})
+	}
+	want := func(what string, d Decision, v Verdict, r Reason) {
+		t.Helper()
+		if d.Verdict != v || d.Reason != r || v == Refuse && d.After <= 0 {
+			t.Errorf("%s: %+v", what, d)
+		}
+	}
+	first := at(0, "10.0.0.1")
+	want("the first", first, Admit, None)
+	want("the second", at(0, "10.0.0.1"), Admit, None)
+	d := at(0, "10.0.0.1")
+	want("beyond the burst", d, Refuse, TooFast)
+	if d.After > sec {
+		t.Errorf("told to come back after %d us where a second brings one", d.After)
+	}
+	want("when it was told to", at(d.After, "10.0.0.1"), Admit, None)
+	want("a fourth open one", at(5*sec, "10.0.0.1"), Refuse, TooMany)
+	g.Leave(first.ID)
+	g.Leave(first.ID)
+	want("after one has left", at(8*sec, "10.0.0.1"), Admit, None)
+	for i := range 5 {
+		want("known clients are not held to the rate", at(0, "10.1.2.3"), Admit, None)
+		_ = i
+	}
+	want("but to their own cap", at(0, "10.1.2.3"), Refuse, TooMany)
+	want("an override", at(0, "10.2.0.1"), Admit, None)
+	want("its cap", at(0, "10.2.0.1"), Refuse, TooMany)
+	want("another of the prefix", at(0, "10.2.0.2"), Admit, None)
+	want("the prefix's cap", at(0, "10.2.0.3"), Refuse, BlockCap)
+	for range 20 {
+		want("behind a gateway", at(0, "10.3.0.9"), Admit, None)
+	}
+	want("beside the gateway", at(0, "10.3.0.8"), Admit, None)
+	g.Ban(netip.MustParsePrefix("10.0.0.0/24"), 20*sec)
+	want("banned", at(10*sec, "10.0.0.7"), Refuse, Banned)
+	g.Adopt(Limits{Track: 100, Everyone: Rule{Open: 3}})
+	want("banned after new limits", at(11*sec, "::ffff:10.0.0.7"), Refuse, Banned)
+	g.Pin(netip.MustParsePrefix("10.0.0.7/32"), 20*sec)
+	want("pinned within", at(12*sec, "10.0.0.7"), Admit, None)
+	want("the ban's end", at(20*sec, "10.0.0.8"), Admit, None)
+	if n := len(g.Holds(20 * sec)); n != 0 {
+		t.Errorf("%d words in force", n)
+	}
+}
+
+// At the limit: the reserve is for known clients, unproved ones have places of their own for a while, and who
+// is idle makes way: unknown for all, known for known only.
+func TestAtTheLimit(t *testing.T) {
+	known := netip.MustParsePrefix("10.9.0.0/16")
+	g := New(Limits{Reserve: 2, Proving: 1, ProveIn: sec, Track: 100, Rules: []Rule{{Prefix: known,
+		Known: true}}})
+	n := 0
+	arrive := func(a string, proves bool) Decision {
+		n++
+		return g.Arrive(0, Arrival{Addr: netip.MustParseAddr(a), Places: 6, Proves: proves})
+	}
+	var ids []uint64
+	for i := range 3 {
+		d := arrive(fmt.Sprint("10.0.0.", i), false)
+		if d.Verdict != Admit {
+			t.Fatalf("%d: %+v", i, d)
+		}
+		ids = append(ids, d.ID)
+	}
+	if d := arrive("10.0.0.9", false); d.Verdict != Refuse || d.Reason != Full {
+		t.Errorf("an unknown one at the last places: %+v", d)
+	}
+	p := arrive("10.0.0.10", true)
+	if p.Verdict != ToProve {
+		t.Errorf("one that may prove itself: %+v", p)
+	}
+	if d := arrive("10.0.0.11", true); d.Verdict != Refuse || d.Reason != Unproved {
+		t.Errorf("one too many of those: %+v", d)
+	}
+	if d := arrive("10.9.0.1", false); d.Verdict != Reserved {
+		t.Errorf("a known one: %+v", d)
+	}
+	if d := g.Prove(sec/2, p.ID, "head-office", true); d.Verdict != Admit || g.used[reserve] != 2 {
+		t.Errorf("a proof: %+v, %v", d, g.used)
+	}
+	if d := arrive("10.9.0.2", false); d.Verdict != Refuse || d.Reason != Full {
+		t.Errorf("known, with nothing left: %+v", d)
+	}
+	late := arrive("10.0.0.12", true)
+	if over := g.Overdue(2 * sec); len(over) != 1 || over[0] != late.ID {
+		t.Errorf("overdue: %v", over)
+	}
+	if d := g.Prove(2*sec, late.ID, "x", true); d.Reason != Unproved {
+		t.Errorf("a proof that comes too late: %+v", d)
+	}
+	g.Leave(late.ID)
+	g.Rest(ids[1])
+	g.Rest(ids[0])
+	g.Use(ids[1])
+	g.Rest(p.ID)
+	if d := arrive("10.0.0.13", false); d.Verdict != MakeRoom || d.ID != ids[0] {
+		t.Errorf("an unknown one makes an unknown idle one go: %+v", d)
+	}
+	g.Leave(ids[0])
+	if d := arrive("10.0.0.13", false); d.Verdict != Admit {
+		t.Errorf("and has its place: %+v", d)
+	}
+	if d := arrive("10.0.0.14", false); d.Verdict != Refuse {
+		t.Errorf("but none of the known ones': %+v", d)
+	}
+	if d := arrive("10.9.0.3", false); d.Verdict != MakeRoom || d.ID != p.ID {
+		t.Errorf("a known one makes a known idle one go: %+v", d)
+	}
+}
+
+// Whatever happens in whatever order: counts are true, the limit and the reserve hold, a connection in use is
+// never named, and at the end nothing is left.
+func TestGateOverLongHistories(t *testing.T) {
+	for seed := range uint64(40) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		l := Limits{Reserve: rng.IntN(4), Proving: rng.IntN(3), ProveIn: sec, Track: 1 + rng.IntN(20),
+			Everyone: Rule{Open: rng.IntN(5), Rate: float64(rng.IntN(3)), Burst: 3},
+			Rules: []Rule{{Prefix: netip.MustParsePrefix("10.0.0.0/29"), Known: true},
+				{Prefix: netip.MustParsePrefix("10.0.0.32/28"), All: 3},
+				{Prefix: netip.MustParsePrefix("10.0.0.64/28"), Gateway: true}}}
+		g := New(l)
+		places := 12
+		type in struct {
+			known, busy bool
+			addr        netip.Addr
+		}
+		open := map[uint64]*in{}
+		now := Micros(0)
+		check := func() {
+			t.Helper()
+			unknown := 0
+			for _, c := range open {
+				if !c.known {
+					unknown++
+				}
+			}
+			total := g.used[general] + g.used[reserve] + g.used[proving]
+			if total != len(open) || g.used[general] < 0 || g.used[reserve] < 0 || g.used[proving] < 0 {
+				t.Fatalf("seed %d: counts %v, %d open", seed, g.used, len(open))
+			}
+			_ = unknown
+		}
+		for range 4000 {
+			now += rng.Int64N(sec / 4)
+			var some uint64
+			for id := range open {
+				some = id
+				break
+			}
+			switch c := open[some]; rng.IntN(9) {
+			case 0, 1, 2, 3:
+				a := addr(rng.IntN(96))
+				d := g.Arrive(now, Arrival{Addr: a, Proves: rng.IntN(3) == 0, Places: places})
+				known := l.Rules[0].Prefix.Contains(a)
+				switch d.Verdict {
+				case MakeRoom:
+					if open[d.ID].busy || open[d.ID].known && !known {
+						t.Fatalf("seed %d: %+v is to make way for %v", seed, open[d.ID], a)
+					}
+					g.Leave(d.ID)
+					delete(open, d.ID)
+				case Admit, Reserved, ToProve:
+					open[d.ID] = &in{known: known, busy: true, addr: a}
+					unknown := 0
+					for _, c := range open {
+						if !c.known {
+							unknown++
+						}
+					}
+					if len(open) > places || !known && unknown > max(0, places-l.Reserve) ||
+						d.Verdict == Reserved && !known {
+						t.Fatalf("seed %d: %d open, %d unknown of %d places: %+v", seed, len(open), unknown, places, d)
+					}
+				}
+			case 4:
+				if c != nil {
+					g.Leave(some)
+					g.Leave(some)
+					delete(open, some)
+				}
+			case 5:
+				if c != nil {
+					c.busy = false
+					g.Rest(some)
+				}
+			case 6:
+				if c != nil {
+					c.busy = true
+					g.Use(some)
+				}
+			case 7:
+				if c != nil {
+					if d := g.Prove(now, some, fmt.Sprint("id", rng.IntN(5)), rng.IntN(2) == 0); d.Verdict == Admit {
+						c.known = g.conns[some].known
+					} else if d.Verdict == Refuse {
+						g.Leave(some)
+						delete(open, some)
+					}
+				}
+			case 8:
+				if rng.IntN(20) == 0 {
+					places = 4 + rng.IntN(12) // shares move: who is in stays in
+				} else if rng.IntN(20) == 0 {
+					g.Adopt(l)
+				}
+			}
+			check()
+		}
+		for id := range open {
+			g.Leave(id)
+			delete(open, id)
+		}
+		check()
+		for _, s := range g.addrs.m {
+			if s.open != 0 {
+				t.Fatalf("seed %d: %+v is left", seed, s)
+			}
+		}
+		if len(g.names) != 0 || g.idle[0].first != nil || g.idle[1].first != nil || len(g.unready) != 0 ||
+			len(g.addrs.m) > l.Track {
+			t.Fatalf("seed %d: %d names, %d addresses, %d unready are left", seed, len(g.names), len(g.addrs.m),
+				len(g.unready))
+		}
+	}
+}
+
+// Under a flood of distinct addresses memory is bounded, nobody is refused wrongly, and a forgotten address
+// gains one burst at most.
+func TestFloodOfAddresses(t *testing.T) {
+	g := New(Limits{Track: 1000, Everyone: Rule{Rate: 1, Burst: 2}})
+	now := Micros(0)
+	for i := range 200_000 {
+		now += 10
+		d := g.Arrive(now, Arrival{Addr: addr(i), Places: 100})
+		if d.Verdict != Admit {
+			t.Fatalf("address %d, which came once: %+v", i, d)
+		}
+		g.Leave(d.ID)
+	}
+	if len(g.addrs.m) > 1000 || g.addrs.forgotten != 199_000 {
+		t.Errorf("%d remembered, %d forgotten", len(g.addrs.m), g.addrs.forgotten)
+	}
+}
+
+// BenchmarkArrive is one connection's life among 1e5 addresses, by the gate and by a plain map without
+// bounds.
+func BenchmarkArrive(b *testing.B) {
+	const addresses = 100_000
+	measure := func(b *testing.B, one func(i int)) {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		for i := range 2 * addresses {
+			one(i)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportAllocs()
+		b.ResetTimer()
+		for i := range b.N {
+			one(i)
+		}
+		b.ReportMetric(float64(int64(after.HeapAlloc)-int64(before.HeapAlloc))/1024, "KiB-held")
+	}
+	for _, track := range []int{addresses, 4096} {
+		b.Run(fmt.Sprintf("gate/track=%d", track), func(b *testing.B) {
+			l := Limits{Track: track, Everyone: Rule{Open: 8, Rate: 10, Burst: 20}}
+			for i := range 1000 {
+				l.Rules = append(l.Rules, Rule{Prefix: netip.PrefixFrom(addr(i*1000), 28), Open: 4})
+			}
+			g, now := New(l), Micros(0)
+			measure(b, func(i int) {
+				now += 100
+				if d := g.Arrive(now, Arrival{Addr: addr(i % addresses), Places: 1000}); d.Verdict != Refuse {
+					g.Leave(d.ID)
+				}
+			})
+		})
+	}
+	b.Run("map and scan", func(b *testing.B) {
+		m := map[netip.Addr]*seen{}
+		var rules []netip.Prefix
+		for i := range 1000 {
+			rules = append(rules, netip.PrefixFrom(addr(i*1000), 28))
+		}
+		now := Micros(0)
+		measure(b, func(i int) {
+			now += 100
+			a := addr(i % addresses)
+			for _, p := range rules {
+				if p.Contains(a) {
+					break
+				}
+			}
+			s := m[a]
+			if s == nil {
+				s = &seen{addr: a}
+				m[a] = s
+			}
+			s.take(now, 10, 20)
+		})
+	})
+}
--- /dev/null
+++ b/internal/admission/trie.go
@@ -0,0 +1,153 @@
+package admission
+
+// Prefixes by longest match, path-compressed: a node has a child only where two prefixes part, so that a
+// look-up costs no more steps than there are distinct prefixes on the way.
+
+import (
+	"encoding/binary"
+	"math/bits"
+	"net/netip"
+)
+
+// bitsOf is an address as 128 bits; IPv4 stands in the first 32.
+type bitsOf struct{ hi, lo uint64 }
+
+func bitsFrom(a netip.Addr) bitsOf {
+	if a.Is4() {
+		b := a.As4()
+		return bitsOf{uint64(binary.BigEndian.Uint32(b[:])) << 32, 0}
+	}
+	b := a.As16()
+	return bitsOf{binary.BigEndian.Uint64(b[:8]), binary.BigEndian.Uint64(b[8:])}
+}
+
+func (x bitsOf) bit(i int) int {
+	if i < 64 {
+		return int(x.hi >> (63 - i) & 1)
+	}
+	return int(x.lo >> (127 - i) & 1)
+}
+
+// common is how many of the first most bits two have in common.
+func (x bitsOf) common(y bitsOf, most int) int {
+	n := 128
+	if d := x.hi ^ y.hi; d != 0 {
+		n = bits.LeadingZeros64(d)
+	} else if d := x.lo ^ y.lo; d != 0 {
+		n = 64 + bits.LeadingZeros64(d)
+	}
+	return min(n, most)
+}
+
+type trieNode[T any] struct {
+	key   bitsOf
+	size  int
+	value *T
+	child [2]*trieNode[T]
+}
+
+// Trie maps prefixes to values. The zero Trie is empty. It is not safe for concurrent use.
+type Trie[T any] struct {
+	root [2]*trieNode[T] // IPv4 and IPv6
+	n    int
+}
+
+// Len is how many prefixes are held.
+func (t *Trie[T]) Len() int { return t.n }
+
+func family(a netip.Addr) int {
+	if a.Is4() {
+		return 0
+	}
+	return 1
+}
+
+// Put sets a prefix's value, or takes it away where it is nil.
+func (t *Trie[T]) Put(p netip.Prefix, v *T) {
+	p = p.Masked()
+	at, key, size := &t.root[family(p.Addr())], bitsFrom(p.Addr()), p.Bits()
+	for {
+		n := *at
+		if n == nil {
+			if v != nil {
+				*at = &trieNode[T]{key: key, size: size, value: v}
+				t.n++
+			}
+			return
+		}
+		same := key.common(n.key, min(size, n.size))
+		switch {
+		case same == n.size && same == size:
+			if n.value == nil && v != nil {
+				t.n++
+			} else if n.value != nil && v == nil {
+				t.n--
+			}
+			n.value = v
+			*at = n.shrunk()
+			return
+		case same == n.size: // further down
+			at = &n.child[key.bit(same)]
+			if v == nil && *at == nil {
+				return
+			}
+		case v == nil:
+			return
+		default: // they part, or ours is above
+			top := &trieNode[T]{key: key, size: same}
+			top.child[n.key.bit(same)] = n
+			if same == size {
+				top.value = v
+			} else {
+				top.child[key.bit(same)] = &trieNode[T]{key: key, size: size, value: v}
+			}
+			*at = top
+			t.n++
+			return
+		}
+	}
+}
+
+// shrunk is what is left of a node that may hold nothing any more.
+func (n *trieNode[T]) shrunk() *trieNode[T] {
+	switch {
+	case n.value != nil || n.child[0] != nil && n.child[1] != nil:
+		return n
+	case n.child[0] != nil:
+		return n.child[0]
+	}
+	return n.child[1]
+}
+
+// Find is the value of the longest prefix that holds an address, or nil.
+func (t *Trie[T]) Find(a netip.Addr) (found *T) {
+	a = a.Unmap()
+	key, most := bitsFrom(a), a.BitLen()
+	for n := t.root[family(a)]; n != nil && key.common(n.key, n.size) == n.size; {
+		if n.value != nil {
+			found = n.value
+		}
+		if n.size >= most {
+			break
+		}
+		n = n.child[key.bit(n.size)]
+	}
+	return found
+}
+
+// Each calls f for every prefix's value.
+func (t *Trie[T]) Each(f func(*T)) {
+	var walk func(*trieNode[T])
+	walk = func(n *trieNode[T]) {
+		if n == nil {
+			return
+		}
+		if n.value != nil {
+			f(n.value)
+		}
+		walk(n.child[0])
+		walk(n.child[1])
+	}
+	walk(t.root[0])
+	walk(t.root[1])
+}
--- a/internal/ajp/server.go
+++ b/internal/ajp/server.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"net"
 	"net/textproto"
 	"strconv"
@@ -27,6 +28,7 @@
 	idleLimit    = 10 * time.Minute
 	requestLimit = 2500 * time.Millisecond
 	writeLimit   = 5 * time.Second
+	turnLimit    = time.Second // of a connection that is to be refused
 	waitStep     = 5 * time.Millisecond
 )
 
@@ -47,6 +49,9 @@
 	last    atomic.Int64
 	mu      sync.Mutex // guards conns
 	conns   map[*conn]struct{}
+	// Keeper, if set before Serve, says who is let in.
+	Keeper *lnet.Keeper
+	turned atomic.Int64 // connections that are just being refused
 }
 
 // Listen starts to listen on an address and on nothing else.
@@ -76,12 +81,26 @@
 			time.Sleep(waitStep)
 			continue
 		}
-		if !s.budget.TakeClient() {
+		k := &conn{s: s, c: c, packets: make(chan packet), over: make(chan struct{})}
+		var after time.Duration
+		if s.Keeper != nil {
+			k.guest, k.held, after = s.Keeper.Enter(c, s.budget, k.yield)
+		} else {
+			k.held = s.budget.TakeClient()
+		}
+		if !k.held {
+			if s.Keeper != nil && s.turned.Add(1) <= lnet.SpareMost {
+				go k.read()
+				go k.turn(after)
+				continue
+			}
+			if s.Keeper != nil {
+				s.turned.Add(-1)
+			}
 			s.log.Warn("connection closed: too many are open", "client", c.RemoteAddr())
 			_ = c.Close()
 			continue
 		}
-		k := &conn{s: s, c: c, packets: make(chan packet), over: make(chan struct{})}
 		s.mu.Lock()
 		s.conns[k] = struct{}{}
 		s.mu.Unlock()
@@ -144,6 +163,50 @@
 	packets chan packet
 	over    chan struct{} // closed when serve has ended
 	busy    atomic.Bool   // in the middle of a request
+	held    bool          // has a place in the budget
+	guest   lnet.Guest
+	mu      sync.Mutex // guards begun, yielded
+	begun   bool       // something of a packet has come and is not done with
+	yielded bool
+}
+
+// yield closes the connection if nothing of a request has come.
+func (c *conn) yield() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.begun || c.busy.Load() {
+		return false
+	}
+	c.yielded = true
+	_ = c.c.Close()
+	return true
+}
+
+// begin notes that a packet has begun, or is done with. It returns false once the connection has made way.
+func (c *conn) begin(begun bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.begun = begun
+	return !c.yielded
+}
+
+// turn answers the one request of a connection that is not let in, and closes it.
+func (c *conn) turn(after time.Duration) {
+	defer func() {
+		close(c.over)
+		_ = c.c.Close()
+		c.s.turned.Add(-1)
+	}()
+	payload, err := c.next(turnLimit)
+	if err != nil {
+		return
+	}
+	if kind, err := Kind(payload); err != nil || kind != typeForward {
+		return // a CPing gets none: the front is to look elsewhere
+	}
+	seconds := strconv.Itoa(max(1, int(math.Ceil(after.Seconds()))))
+	_ = c.answer(lnet.Response{Status: 503, Header: [][2]string{{"Retry-After", seconds}}, Close: true,
+		Body: []byte("too many connections\n")}, false)
 }
 
 // read takes packets in, one at a time: the next is read only once the last was taken.
@@ -152,6 +215,9 @@
 	for {
 		n, err := io.ReadFull(c.c, head[:])
 		p := packet{err: err, begun: n > 0}
+		if !c.begin(n > 0) {
+			return
+		}
 		if err == nil {
 			var size int
 			if size, p.err = Size(head[:], c.s.o.Size); p.err == nil {
@@ -195,7 +261,8 @@
 		c.s.mu.Lock()
 		delete(c.s.conns, c)
 		c.s.mu.Unlock()
-		c.s.budget.Release()
+		c.guest.Leave()
+		c.s.budget.ReleaseClient()
 	}()
 	limit := requestLimit // of the first packet: who connects has something to say
 	for {
@@ -203,11 +270,14 @@
 		limit = idleLimit
 		if err == nil {
 			c.busy.Store(true)
+			c.guest.Use()
 			err = c.exchange(payload)
+			c.begin(false)
 			c.busy.Store(false)
+			c.guest.Rest()
 		}
 		switch {
-		case err == nil && !c.s.closing.Load():
+		case err == nil: // also while the server ends: the reply has told that the connection goes on
 			continue
 		case errors.Is(err, ErrPacket):
 			c.s.log.Warn("bad AJP packet", "client", c.c.RemoteAddr(), "why", err)
--- a/internal/grpcnode/grpcnode_test.go
+++ b/internal/grpcnode/grpcnode_test.go
@@ -2,16 +2,10 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"fmt"
 	"math"
-	"math/big"
 	"net"
 	"os"
 	"path/filepath"
@@ -497,57 +491,10 @@
 	standin.Until(t, "the end of the idle connection", func() bool { return n.Open() == 0 })
 }
 
-// authority signs certificates for tests.
-type authority struct {
-	t    *testing.T
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-	n    int64
-}
-
-func newAuthority(t *testing.T) *authority {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	tmpl := &x509.Certificate{SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "ca"},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), IsCA: true,
-		BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign}
-	der, err := x509.CreateCertificate(rand.Reader, tmpl, tmpl, &key.PublicKey, key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	cert, _ := x509.ParseCertificate(der)
-	return &authority{t: t, cert: cert, key: key, n: 1}
-}
-
-func (a *authority) pem() []byte {
-	return pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: a.cert.Raw})
-}
-
-// issue makes a pair for a name.
-func (a *authority) issue(name string) (cert, key []byte) {
-	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		a.t.Fatal(err)
-	}
-	a.n++
-	tmpl := &x509.Certificate{SerialNumber: big.NewInt(a.n), Subject: pkix.Name{CommonName: name},
-		DNSNames: []string{name}, NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth}}
-	der, err := x509.CreateCertificate(rand.Reader, tmpl, a.cert, &k.PublicKey, a.key)
-	if err != nil {
-		a.t.Fatal(err)
-	}
-	raw, _ := x509.MarshalECPrivateKey(k)
-	return pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}),
-		pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: raw})
-}
-
 // Keys change in service: calls that are open come to their end, new ones go out with the new keys, and a set
 // that does not hold together is turned down whole.
 func TestKeysChangeInService(t *testing.T) {
-	ca := newAuthority(t)
+	ca := standin.NewAuthority(t)
 	dir := t.TempDir()
 	files := KeyFiles{CA: filepath.Join(dir, "ca"), Cert: filepath.Join(dir, "cert"), Key: filepath.Join(dir,
 		"key")}
@@ -556,20 +503,20 @@
 			t.Fatal(err)
 		}
 	}
-	pair := func(name string) { c, k := ca.issue(name); put(files.Cert, c); put(files.Key, k) }
-	put(files.CA, ca.pem())
+	pair := func(name string) { c, k := ca.Issue(name); put(files.Cert, c); put(files.Key, k) }
+	put(files.CA, ca.PEM())
 	pair("one")
 	keys, err := OpenKeyring(files)
 	if err != nil {
 		t.Fatal(err)
 	}
-	c, k := ca.issue("ledger")
+	c, k := ca.Issue("ledger")
 	own, err := tls.X509KeyPair(c, k)
 	if err != nil {
 		t.Fatal(err)
 	}
 	roots := x509.NewCertPool()
-	roots.AddCert(ca.cert)
+	roots.AppendCertsFromPEM(ca.PEM())
 	var mu sync.Mutex
 	var names []string
 	release := make(chan bool)
@@ -597,12 +544,12 @@
 	if changed, err := keys.Reload(); changed || err != nil {
 		t.Errorf("told of twice: %v %v", changed, err)
 	}
-	other := newAuthority(t)
+	other := standin.NewAuthority(t)
 	put(files.CA, []byte("nothing"))
 	if changed, err := keys.Reload(); changed || err == nil {
 		t.Fatalf("roots without a certificate were taken: %v %v", changed, err)
 	}
-	put(files.CA, append(other.pem(), ca.pem()...))
+	put(files.CA, append(other.PEM(), ca.PEM()...))
 	pair("two")
 	if changed, err := keys.Reload(); !changed || err != nil {
 		t.Fatalf("%v %v", changed, err)
--- a/internal/kiosk/config.go
+++ b/internal/kiosk/config.go
@@ -11,6 +11,7 @@
 
 	"lapislever/internal/ajp"
 	"lapislever/internal/grpcnode"
+	"lapislever/internal/platform"
 	"lapislever/internal/settings"
 )
 
@@ -55,6 +56,10 @@
 	Shards   int    `toml:"shards,omitempty"`   // 0: one a cell
 	Reach    int    `toml:"reach,omitempty"`
 	Attempts int    `toml:"attempts,omitempty"` // for one part
+	Sockets  int    `toml:"sockets,omitempty"`  // descriptors that the process may hold
+
+	ListenTLS ListenTLS  `toml:"listen_tls,omitempty"`
+	Admission *Admission `toml:"admission,omitempty"`
 
 	AJP struct {
 		Listen string `toml:"listen,omitempty"`
@@ -121,6 +126,7 @@
 func (c *Config) check(f *settings.File) error {
 	orElse(&c.Reach, 1)
 	orElse(&c.Attempts, 4)
+	orElse(&c.Sockets, 1024)
 	orElse(&c.AJP.Packet, ajp.DefaultSize)
 	orElse(&c.New.Streams, 32)
 	orElse(&c.New.Connections, 2)
@@ -167,6 +173,13 @@
 	span("tls.watch_s", c.TLS.Watch, 0.1, 3600)
 	span("keys.remember_s", c.Keys.Remember, 0, 86400)
 	f.Check(c.Keys.Most >= 1, "keys.most", "%d leaves room for no key", c.Keys.Most)
+	f.Check(c.Sockets >= 64 && c.Sockets <= 1<<20, "sockets", "%d is not within 64 and %d", c.Sockets, 1<<20)
+	if c.Admission != nil {
+		c.Admission.check(f, platform.ClientPlaces(c.Sockets, c.Operator != ""))
+	}
+	f.Check((c.ListenTLS.Cert == "") == (c.ListenTLS.Key == ""), "listen_tls.cert", "cert and key go together")
+	f.Check(c.ListenTLS.Roots == "" || c.ListenTLS.Cert != "", "listen_tls.client_roots",
+		"is of no use without cert")
 	f.Check((c.TLS.Cert == "") == (c.TLS.Key == ""), "tls.cert", "cert and key go together")
 	f.Check(c.TLS.Cert == "" || c.TLS.CA != "", "tls.ca", "is missing")
 	f.Check(c.Attempts >= 1 && c.Attempts <= 16, "attempts", "%d is not within 1 and 16", c.Attempts)
--- a/internal/kiosk/front.go
+++ b/internal/kiosk/front.go
@@ -6,6 +6,7 @@
 package kiosk
 
 import (
+	"crypto/tls"
 	"fmt"
 	"log/slog"
 	"slices"
@@ -34,6 +35,9 @@
 	keys   *grpcnode.Keyring
 	tally  translate.Tally
 	router *router
+	keeper *lnet.Keeper // nil: the budget alone speaks
+	secure atomic.Pointer[tls.Config]
+	budget *lnet.Budget
 	core   *core.Core
 	http   *lnet.Server
 	ajp    *ajp.Server
@@ -54,6 +58,16 @@
 			return nil, fmt.Errorf("tls: %w", err)
 		}
 	}
+	if cfg.Admission != nil {
+		f.keeper = lnet.NewKeeper(cfg.Admission.limits())
+	}
+	if cfg.ListenTLS.Cert != "" {
+		c, err := cfg.ListenTLS.load()
+		if err != nil {
+			return nil, err
+		}
+		f.secure.Store(c)
+	}
 	f.router = &router{tally: &f.tally, dial: base.DialTimeout, epoch: time.Now(),
 		out:   map[*core.Attempt]flight{},
 		guard: translate.NewGuard(0, seconds(cfg.Keys.Remember).Microseconds(), cfg.Keys.Most)}
@@ -66,7 +80,7 @@
 
 // Start begins to serve.
 func (f *Front) Start(c *core.Core, budget *lnet.Budget) error {
-	f.core = c
+	f.core, f.budget = c, budget
 	r := f.router
 	r.post = c.Post
 	r.old = platform.NewNodes(f.base, budget, f.log, c.Counts(), r.tell)
@@ -76,6 +90,10 @@
 		if f.http, err = lnet.Listen(f.cfg.Listen, budget, f.log, f.serve); err != nil {
 			return fmt.Errorf("listen: %w", err)
 		}
+		f.http.Keeper = f.keeper
+		if f.secure.Load() != nil {
+			f.http.Secure = lnet.SecureBy(f.secure.Load)
+		}
 		f.http.TurnedAway = func(r *lnet.Request) { f.count(r, core.Refused) }
 	}
 	if f.cfg.AJP.Listen != "" {
@@ -88,6 +106,7 @@
 			}
 			return fmt.Errorf("ajp.listen: %w", err)
 		}
+		f.ajp.Keeper = f.keeper
 	}
 	f.list(f.cfg)
 	if f.http != nil {
@@ -160,6 +179,15 @@
 	}
 	f.list(cfg)
 	f.rekey()
+	switch {
+	case f.keeper != nil && cfg.Admission != nil:
+		f.keeper.Adopt(cfg.Admission.limits())
+	case (f.keeper != nil) != (cfg.Admission != nil):
+		f.log.Warn("a change of the file takes a restart", "key", "admission")
+	}
+	if c := fresh.secure.Load(); c != nil && f.secure.Load() != nil {
+		f.secure.Store(c) // new handshakes; who is in stays in
+	}
 }
 
 // Settle takes new settings in: classes and their rules.
--- a/internal/kiosk/kiosk_test.go
+++ b/internal/kiosk/kiosk_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
 	"strings"
 	"sync"
 	"testing"
@@ -56,7 +58,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	cfg.Operator = file.Operator
+	cfg.Operator, cfg.Limits.Sockets = file.Operator, file.Sockets
 	f, err := New(file, cfg, standin.Quiet())
 	if err != nil {
 		t.Fatal(err)
@@ -273,3 +275,60 @@
 	}
 	standin.Until(t, "the second reset", func() bool { return n.Resets() >= 2 })
 }
+
+// An old terminal that speaks HTTP/1.0 is answered, and the connection ends as it expects.
+func TestOldestTerminals(t *testing.T) {
+	n := standin.NewGRPC(t, standin.NewOptions{}, text)
+	r := run(t, listeners+classes+server("a", n.Addr, "new", 0))
+	c, err := net.Dial("tcp", r.http)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_, body := request("old", "", 0)
+	fmt.Fprintf(c, "POST /rate-check HTTP/1.0\r\nX-Call-Id: old\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	all, err := io.ReadAll(c) // up to the end of the connection
+	if err != nil || !strings.Contains(string(all), " 200 OK\r\n") || !strings.Contains(string(all), `"v:old.0"`) {
+		t.Errorf("%q, %v", all, err)
+	}
+}
+
+// What was taken is answered through an end: queries that are open on both carriers when it comes get one answer
+// each, the late one too.
+func TestShutdownAnswersWhatWasTaken(t *testing.T) {
+	release := make(chan bool)
+	n := standin.NewGRPC(t, standin.NewOptions{}, func(c standin.NewCall) standin.NewDo {
+		<-release
+		return standin.NewDo{Text: "v"}
+	})
+	r := run(t, listeners+classes+server("a", n.Addr, "new", 0))
+	answers := make(chan int, 2)
+	go func() {
+		head, body := request("by-http", "", 0)
+		answers <- standin.Call(t, r.http, "POST", "/rate-check", head, body).Status
+	}()
+	go func() {
+		head, body := request("by-ajp", "", 0)
+		y, err := standin.DialAJP(t, r.ajp).Call("/rate-check", head, body, "secret", "s3cret")
+		if err != nil {
+			t.Error(err)
+			answers <- 0
+			return
+		}
+		answers <- y.Status
+	}()
+	standin.Until(t, "both calls", func() bool { return len(n.Calls()) >= 2 })
+	ended := make(chan bool)
+	go func() { r.k.Shutdown(); close(ended) }()
+	standin.Until(t, "the word that it ends", func() bool { return r.f.ending.Load() })
+	time.Sleep(50 * time.Millisecond)
+	close(release)
+	for range 2 {
+		if status := <-answers; status != 200 {
+			t.Errorf("%d", status)
+		}
+	}
+	<-ended
+	standin.Until(t, "the end of the calls", func() bool { return r.f.http.Open()+r.f.ajp.Open() == 0 })
+}
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -12,14 +12,18 @@
 	"errors"
 	"io"
 	"log/slog"
+	"math"
 	"net"
 	"os"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"lapislever/internal/admission"
 )
 
 // Sizes and limits of the network code.
@@ -210,6 +214,7 @@
 // them.
 type Budget struct {
 	used, most, kept atomic.Int64
+	clients          atomic.Int64 // of those in use
 	spare            atomic.Int64 // beyond it, each for a client that is to be refused
 	rings            pool
 }
@@ -241,7 +246,35 @@
 func (b *Budget) TakeServer() bool { return b.take(0) }
 
 // TakeClient takes one for a client's connection.
-func (b *Budget) TakeClient() bool { return b.take(b.kept.Load()) }
+func (b *Budget) TakeClient() bool {
+	if !b.take(b.kept.Load()) {
+		return false
+	}
+	b.clients.Add(1)
+	return true
+}
+
+// ReleaseClient gives a client's back.
+func (b *Budget) ReleaseClient() {
+	b.clients.Add(-1)
+	b.Release()
+}
+
+// takePlace takes one for a client that a gate has let in: what is kept for nodes counts as theirs whether
+// they hold it or not, and no more than that.
+func (b *Budget) takePlace() bool {
+	if b.clients.Add(1) > int64(b.Places()) || !b.take(0) {
+		b.clients.Add(-1)
+		return false
+	}
+	return true
+}
+
+// Places is how many clients may be open at this moment, those that are included.
+func (b *Budget) Places() int {
+	nodes := max(0, b.used.Load()-b.clients.Load())
+	return int(max(0, b.most.Load()-max(b.kept.Load(), nodes)))
+}
 
 // Limit changes the budget, and how many clients beyond it may be held open to be refused. What is held
 // beyond it stays until it is given back.
@@ -294,8 +327,12 @@
 	closing atomic.Bool
 	// TurnedAway, if set, hears of each request that is refused because too many connections are open.
 	TurnedAway func(r *Request)
-	last       atomic.Int64 // when a request last came, in Unix nanoseconds
-	spare      atomic.Int64 // connections beyond the budget that are just being refused
+	// Keeper, if set, says who is let in, and Secure, if set, makes the connection one by TLS. Both are set
+	// before Serve.
+	Keeper *Keeper
+	Secure Secure
+	last   atomic.Int64 // when a request last came, in Unix nanoseconds
+	spare  atomic.Int64 // connections beyond the budget that are just being refused
 }
 
 // reusing lets another process listen on the same address: the next version of this program, while this one
@@ -337,37 +374,116 @@
 
 // Serve accepts until the listener is closed.
 func (s *Server) Serve() {
+	var hand inHand
+	if s.Keeper != nil {
+		hand.take()
+	}
 	for {
 		c, err := s.l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil && hand.turnAway(s.l, err) {
+			s.log.Warn("connection closed: no descriptor is left", "err", err)
+			continue
+		}
 		if err != nil { // out of descriptors or the like: it passes
 			s.log.Warn("accept failed", "err", err)
 			time.Sleep(5 * time.Millisecond)
 			continue
 		}
-		held := s.budget.TakeClient()
-		if !held && s.evict(kept) {
-			held = s.budget.TakeClient()
-		}
+		held, place, after := s.admit(c)
 		if !held && s.spare.Add(1) > s.budget.spare.Load() {
 			s.spare.Add(-1)
 			s.log.Warn("connection closed: too many are open", "client", c.RemoteAddr())
 			_ = c.Close()
 			continue
 		}
-		sc := &serverConn{s: s, c: c, in: NewRing(MaxHead + MaxBody), out: NewRing(outRing), held: held,
-			more: make(chan struct{}, 1), since: time.Now(), state: waiting}
+		sc := &serverConn{s: s, raw: c, c: c, in: NewRing(MaxHead + MaxBody), out: NewRing(outRing), held: held,
+			more: make(chan struct{}, 1), since: time.Now(), state: waiting, seat: place, after: after}
 		sc.in.pool, sc.out.pool = &s.budget.rings, &s.budget.rings
 		s.mu.Lock()
 		s.conns[sc] = struct{}{}
 		s.mu.Unlock()
+		if place.k != nil {
+			place.k.hold(place.id, sc.yield)
+		}
+		if s.Secure != nil {
+			go sc.secure()
+			continue
+		}
 		go sc.fill()
 		go sc.serve()
 	}
 }
 
+// admit finds a place for a connection, or tells when to come back.
+func (s *Server) admit(c net.Conn) (held bool, place seat, after time.Duration) {
+	if s.Keeper == nil {
+		held = s.budget.TakeClient()
+		if !held && s.evict(kept) {
+			held = s.budget.TakeClient()
+		}
+		return held, seat{}, time.Second
+	}
+	d := s.Keeper.arrive(c, s.Secure != nil, s.budget.Places())
+	if d.Verdict == admission.Refuse {
+		return false, seat{}, time.Duration(d.After) * time.Microsecond
+	}
+	if !s.budget.takePlace() { // nodes have taken it meanwhile
+		s.Keeper.Leave(d.ID)
+		return false, seat{}, time.Second
+	}
+	return true, seat{s.Keeper, d.ID}, 0
+}
+
+// secure makes the handshake, within its time, and goes on as a client that has proved who it is, or has not.
+func (c *serverConn) secure() {
+	limit := spareLimit
+	if c.seat.k != nil && c.held {
+		limit = c.seat.k.proof
+	}
+	_ = c.c.SetDeadline(time.Now().Add(limit))
+	secured, identity, err := c.s.Secure(c.c)
+	if err != nil {
+		c.s.log.Warn("no handshake", "client", c.c.RemoteAddr(), "err", err)
+		c.shut()
+		c.s.forget(c)
+		return
+	}
+	_ = c.c.SetDeadline(time.Time{})
+	c.c = secured // nobody else looks at it yet
+	if c.seat.k != nil {
+		if d := c.seat.k.prove(c.seat.id, identity, identity != ""); d.Verdict == admission.Refuse {
+			c.turned, c.after = true, time.Duration(d.After)*time.Microsecond
+		}
+	}
+	go c.fill()
+	c.serve()
+}
+
+// forget drops a connection that has ended.
+func (s *Server) forget(c *serverConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+	c.giveBack()
+}
+
+// yield closes the connection if nothing of a request has come.
+func (c *serverConn) yield() bool {
+	c.mu.Lock()
+	if c.state != waiting || c.in.Len() > 0 {
+		c.mu.Unlock()
+		return false
+	}
+	c.state = spared
+	c.shut()
+	c.mu.Unlock()
+	c.s.forget(c)
+	return true
+}
+
 // evict closes the client connection that can best be spared, so that a crowd does not keep others out: one
 // that only reads an error yet, one that has asked nothing or has stopped in the middle of its first request,
 // else the one that has been without a request for the longest time, as the protocol allows.
@@ -440,7 +556,8 @@
 // serverConn is a client's connection: fill reads into its ring, serve takes requests out one by one.
 type serverConn struct {
 	s       *Server
-	c       net.Conn
+	raw     net.Conn   // the socket
+	c       net.Conn   // the same, or TLS over it
 	mu      sync.Mutex // guards in, err, at, state, since, asked
 	in, out *Ring
 	more    chan struct{}
@@ -452,6 +569,9 @@
 	over    int       // goroutines that have ended
 	held    bool      // has a place in the budget; guarded by the server's mu
 	back    bool
+	seat    seat
+	turned  bool          // is to be refused, though it has a place
+	after   time.Duration // when to come back, for one that is refused
 }
 
 type connState uint8
@@ -523,7 +643,7 @@
 	return true
 }
 
-func (c *serverConn) shut() { _ = c.c.Close() }
+func (c *serverConn) shut() { _ = c.raw.Close() }
 
 // giveBack returns the place in the budget, once.
 func (c *serverConn) giveBack() {
@@ -531,8 +651,9 @@
 		return
 	}
 	c.back = true
+	c.seat.leave()
 	if c.held {
-		c.s.budget.Release()
+		c.s.budget.ReleaseClient()
 	} else {
 		c.s.spare.Add(-1)
 	}
@@ -622,6 +743,9 @@
 	if !c.become(waiting) {
 		return nil, net.ErrClosed
 	}
+	if c.asked {
+		c.seat.rest() // before its first request it is just about to ask
+	}
 	var began time.Time
 	var lack lacks
 	continued := false
@@ -659,6 +783,7 @@
 		case err != nil:
 			return nil, err
 		case req != nil:
+			c.seat.use()
 			return req, nil
 		case gone != nil:
 			return nil, gone
@@ -712,7 +837,7 @@
 		if !ok {
 			return
 		}
-		end := req.Close || resp.Close || c.s.closing.Load() || !c.held
+		end := req.Close || resp.Close || c.s.closing.Load() || !c.held || c.turned
 		if c.write(resp, end, req.Method == "HEAD") != nil {
 			return
 		}
@@ -729,11 +854,12 @@
 // exchange has a request handled and waits for its reply or for the end of the client.
 func (c *serverConn) exchange(req *Request) (Response, bool) {
 	x, reply := NewExchange()
-	if !c.held {
+	if !c.held || c.turned {
 		if c.s.TurnedAway != nil {
 			c.s.TurnedAway(req)
 		}
-		return Response{Status: 503, Header: [][2]string{{"Retry-After", "1"}},
+		after := strconv.Itoa(max(1, int(math.Ceil(c.after.Seconds()))))
+		return Response{Status: 503, Header: [][2]string{{"Retry-After", after}},
 			Body: []byte("too many connections\n")}, true
 	}
 	c.s.last.Store(req.At.UnixNano())
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -8,8 +8,10 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -476,3 +478,35 @@
 		_ = l.Close()
 	}
 }
+
+// Where accept fails for want of a descriptor, the one in hand lets the caller in that waits, who hears at
+// once.
+func TestCallerHearsWithoutADescriptor(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	var h inHand
+	if h.turnAway(l, syscall.EMFILE) {
+		t.Error("turned away with nothing in hand")
+	}
+	h.take()
+	for _, fail := range []error{syscall.EMFILE, syscall.ENFILE} {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !h.turnAway(l, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", fail)}) || h.f == nil {
+			t.Fatalf("%v: not turned away, or nothing in hand any more", fail)
+		}
+		_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		if _, err := c.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("%v: the caller waits: %v", fail, err)
+		}
+		_ = c.Close()
+	}
+	if h.turnAway(l, syscall.ECONNABORTED) {
+		t.Error("turned away for another failure")
+	}
+}
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -97,7 +97,7 @@
 	k := &Coordinator{cfg: cfg, log: log, extras: extras, stop: make(chan struct{}),
 		listed: make(chan struct{}), conf: cfg}
 	h, beside := inherit(cfg, log)
-	most := max(32, cfg.Limits.Sockets-ownSockets-k.doorSockets())
+	most := budgetOf(cfg.Limits.Sockets, cfg.Operator != "")
 	budget := lnet.NewBudget(most, most/nodeShare)
 	budget.LimitRings(cfg.Limits.MemoryMB << 20 / ringShare)
 	post := func(e core.Event) { k.core.Post(e) }
@@ -217,11 +217,22 @@
 }
 
 // doorSockets is how many descriptors the operators' door needs.
-func (k *Coordinator) doorSockets() int {
-	if k.cfg.Operator == "" {
-		return 0
+func (k *Coordinator) doorSockets() int { return doorNeeds(k.cfg.Operator != "") }
+
+func doorNeeds(open bool) int {
+	if open {
+		return admin.Sockets
 	}
-	return admin.Sockets
+	return 0
+}
+
+// budgetOf is how many descriptors clients and nodes share.
+func budgetOf(sockets int, door bool) int { return max(32, sockets-ownSockets-doorNeeds(door)) }
+
+// ClientPlaces is how many clients there can be at most, where the process may hold so many descriptors.
+func ClientPlaces(sockets int, door bool) int {
+	most := budgetOf(sockets, door)
+	return most - most/nodeShare
 }
 
 // Addr is the address that clients reach.
@@ -253,6 +264,22 @@
 	return f
 }
 
+// Gate says who is let in; nil where only the budget does.
+func (d doorState) Gate() admin.Gate {
+	for _, x := range d.k.extras {
+		if g, ok := x.(interface{ Gate() *lnet.Keeper }); ok && g.Gate() != nil {
+			return gate{g.Gate()}
+		}
+	}
+	return nil
+}
+
+// gate is a keeper in the door's terms.
+type gate struct{ *lnet.Keeper }
+
+// Figures are what the door shows.
+func (g gate) Figures(n int) any { return g.Keeper.Figures(n) }
+
 // Cordon puts a data node out or back.
 func (d doorState) Cordon(id string, out bool, within time.Duration) error {
 	known, inTime := d.k.core.Cordon(core.ServerID(id), out, within)
