--- a/internal/kiosk/admission_test.go
+++ b/internal/kiosk/admission_test.go
@@ -305,7 +305,8 @@
 		t.Errorf("a certificate that the roots have not signed: %d", status)
 	}
 	var crowd []net.Conn
-	standin.Until(t, "the limit", func() bool { // handshakes that never begin; their places come back after a while
+	// Handshakes that never begin; their places come back after a while.
+	standin.Until(t, "the limit", func() bool {
 		crowd = append(crowd, from(t, fmt.Sprintf("127.0.81.%d", 1+len(crowd)%200), at))
 		return f.keeper.Figures(1).Refused["unproved"] > 0 // so all places were taken but the reserve
 	})
--- a/internal/kiosk/kiosk_test.go
+++ b/internal/kiosk/kiosk_test.go
@@ -286,16 +286,18 @@
 	}
 	defer c.Close()
 	_, body := request("old", "", 0)
-	fmt.Fprintf(c, "POST /rate-check HTTP/1.0\r\nX-Call-Id: old\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	fmt.Fprintf(c, "POST /rate-check HTTP/1.0\r\nX-Call-Id: old\r\nContent-Length: %d\r\n\r\n%s", len(body),
+		body)
 	_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
 	all, err := io.ReadAll(c) // up to the end of the connection
-	if err != nil || !strings.Contains(string(all), " 200 OK\r\n") || !strings.Contains(string(all), `"v:old.0"`) {
+	if err != nil || !strings.Contains(string(all), " 200 OK\r\n") || !strings.Contains(string(all),
+		`"v:old.0"`) {
 		t.Errorf("%q, %v", all, err)
 	}
 }
 
-// What was taken is answered through an end: queries that are open on both carriers when it comes get one answer
-// each, the late one too.
+// What was taken is answered through an end: queries that are open on both carriers when it comes get one
+// answer each, the late one too.
 func TestShutdownAnswersWhatWasTaken(t *testing.T) {
 	release := make(chan bool)
 	n := standin.NewGRPC(t, standin.NewOptions{}, func(c standin.NewCall) standin.NewDo {
