Keep a view of the fleet by the coordinators themselves, with a rig of processes

Need: the operators want to see how many processes behave together when parts fail. A coordinator only had a fixed number of peers, and no test started two processes of the program.

internal/membership keeps the view: SWIM with Lifeguard's local health, and departures that docs/FLEET.md states: deaths take votes of several members that have seen the silence themselves, and nobody agrees against an answer of its own. internal/fleet owns the socket and the keys, internal/platform joins, hands over in an upgrade and leaves. The door shows /admin/fleet, `lapislever fleet members` prints it, and the door now opens by RELAY_OPERATOR in every kind of start. The module's messages go to members that are alive; a Tell can be bounded shorter for that.

--- a/balance/api.go
+++ b/balance/api.go
@@ -70,6 +70,7 @@
 	CanCopy       bool // a part may have two attempts out at once
 	CanProbe      bool
 	CanTell       bool   // peers hear Tell
+	TellMost      int    // bytes of a Tell's text; 0: 256
 	MarksRepeat   bool   // clients mark their repeats, see Event.Repeat
 	CanAdvise     bool   // clients hear Action.After of a Refuse
 	MaxRetryAfter Micros // longest advice that a client follows
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -377,7 +377,7 @@
 		return
 	}
 	b.tellAt = b.now + tellGap
-	var m message
+	m := message{most: b.s.TellMost}
 	for range b.replicas {
 		b.tellNext = (b.tellNext + 1) % len(b.replicas)
 		r := b.replicas[b.tellNext]
--- a/balance/message.go
+++ b/balance/message.go
@@ -1,6 +1,9 @@
 package balance
 
-import "math"
+import (
+	"cmp"
+	"math"
+)
 
 // The form of a message between peers: a byte of check, then entries of five bytes: three of the hash of a
 // replica's id, one of its time per part and one of the count that stands behind it.
@@ -13,7 +16,10 @@
 	countSteps = 16.0    // for each part
 )
 
-type message struct{ b []byte }
+type message struct {
+	b    []byte
+	most int // bytes; 0: maxMessage
+}
 
 // add writes an entry and reports whether its count is large enough to be written.
 func (m *message) add(h uint32, took, n float64) bool {
@@ -29,7 +35,9 @@
 	return true
 }
 
-func (m *message) full() bool { return len(m.b)+entrySize > maxMessage }
+func (m *message) full() bool {
+	return len(m.b)+entrySize > min(maxMessage, cmp.Or(m.most, maxMessage))
+}
 
 // text closes the message; it is empty where nothing was added.
 func (m *message) text() string {
--- a/cmd/lapislever/main.go
+++ b/cmd/lapislever/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -16,9 +17,10 @@
 
 	"github.com/spf13/pflag"
 
+	"lapislever/internal/console"
+	"lapislever/internal/fleet"
 	"lapislever/internal/importer"
 	"lapislever/internal/kiosk"
-	lnet "lapislever/internal/net"
 	"lapislever/internal/platform"
 	"lapislever/internal/promql"
 )
@@ -32,12 +34,13 @@
   serve     run one coordinator
   check     validate the configuration and stop
   import    make a file for --promql or --translate of a mod_jk worker file or Apache's balancers
+  fleet     members, at a coordinator's door
   admission show | ban PREFIX | pin PREFIX | lift PREFIX, at a coordinator's door
   version   print the version
 
 RELAY_CONFIG names the platform's configuration. With --promql FILE range queries are served too, and without
 RELAY_CONFIG they alone. With --translate FILE, and without RELAY_CONFIG, old terminals are served by nodes of
-the old form and of the new one.
+the old form and of the new one. With --fleet FILE the coordinator takes part in a fleet.
 `
 
 func main() {
@@ -46,7 +49,7 @@
 		fmt.Fprintln(os.Stderr, "lapislever:", err)
 	}
 	switch {
-	case errors.Is(err, errUsage):
+	case errors.Is(err, errUsage), errors.Is(err, console.ErrUsage):
 		os.Exit(2)
 	case err != nil:
 		os.Exit(1)
@@ -72,11 +75,13 @@
 	var from sources
 	var into importer.Options
 	var door doorCall
+	members := console.Fleet{Stop: signals}
 	switch args[0] {
 	case "serve", "check":
 		flags.BoolVarP(&verbose, "verbose", "v", false, "log more")
 		flags.StringVar(&from.ranges, "promql", "", "serve range queries as this file says")
 		flags.StringVar(&from.translate, "translate", "", "serve old terminals as this file says")
+		flags.StringVar(&from.fleet, "fleet", "", "take part in the fleet that this file names")
 	case "import":
 		flags.StringVar(&into.Listen, "listen", "127.0.0.1:9090", "address that the front listens on")
 		flags.StringVar(&into.Class, "class", "day-report", "class of range queries")
@@ -86,6 +91,11 @@
 		flags.StringVar(&door.addr, "door", "", "address of the operators' door")
 		flags.DurationVar(&door.span, "for", 10*time.Minute, "how long a ban or a pin holds")
 		files = -1
+	case "fleet":
+		flags.StringVar(&members.Door, "door", "", "address of the operators' door")
+		flags.BoolVar(&members.JSON, "json", false, "print the door's own words")
+		flags.BoolVar(&members.Watch, "watch", false, "again every second")
+		files = -1
 	case "version":
 	case "help", "-h", "--help":
 		fmt.Fprint(stdout, usage)
@@ -99,8 +109,11 @@
 	} else if err != nil {
 		return fmt.Errorf("%w: %v", errUsage, err)
 	}
-	if args[0] == "admission" {
+	switch args[0] {
+	case "admission":
 		return door.ask(flags.Args(), stdout)
+	case "fleet":
+		return members.Run(flags.Args(), stdout)
 	}
 	if flags.NArg() != files {
 		return fmt.Errorf("%w: %s takes %d arguments, not %d", errUsage, args[0], files, flags.NArg())
@@ -133,13 +146,19 @@
 	}
 	ended := make(chan struct{})
 	ending := false
+	var failure error
+	end := func() {
+		if !ending {
+			ending = true
+			go func() { k.Shutdown(); close(ended) }()
+		}
+	}
 	for {
 		select {
 		case s := <-signals:
 			switch {
-			case s != syscall.SIGHUP && !ending:
-				ending = true
-				go func() { k.Shutdown(); close(ended) }()
+			case s != syscall.SIGHUP:
+				end()
 			case s == syscall.SIGHUP: // while ending too: what is still open wants to hear of its nodes
 				// A file that cannot be used must not take down what works.
 				fresh, anew, err := load(from, env, log)
@@ -156,17 +175,35 @@
 					}
 				}
 			}
+		case failure = <-k.Failed():
+			log.Error("ending", "err", failure)
+			end()
 		case <-ended:
-			return nil
+			return failure
 		}
 	}
 }
 
 // sources are the files that a start names.
-type sources struct{ ranges, translate string }
+type sources struct{ ranges, translate, fleet string }
 
-// load reads the configuration, and the fronts' files where any are given.
+// load reads the configuration, and the files of the fronts and of the fleet where any are given.
 func load(from sources, env func(string) string, log *slog.Logger) (*platform.Config, []platform.Extra,
+	error) {
+	cfg, fronts, err := loadFronts(from, env, log)
+	if err != nil || from.fleet == "" {
+		return cfg, fronts, err
+	}
+	file, err := fleet.Load(from.fleet)
+	if err != nil {
+		return nil, nil, err
+	}
+	cfg.JoinFleet(file)
+	return cfg, fronts, nil
+}
+
+// loadFronts reads the configuration, and the fronts' files where any are given.
+func loadFronts(from sources, env func(string) string, log *slog.Logger) (*platform.Config, []platform.Extra,
 	error) {
 	alone := env("RELAY_CONFIG") == ""
 	switch {
@@ -175,7 +212,7 @@
 	case from.translate != "" && !alone:
 		return nil, nil, fmt.Errorf("%w: --translate does not go with RELAY_CONFIG", errUsage)
 	case from.translate != "":
-		return loadTranslation(from.translate, log)
+		return loadTranslation(from.translate, env("RELAY_OPERATOR"), log)
 	case from.ranges == "":
 		cfg, err := platform.Load(env)
 		return cfg, nil, err
@@ -186,7 +223,9 @@
 	}
 	var cfg *platform.Config
 	if alone {
-		cfg, err = platform.Alone(file.Standalone())
+		if cfg, err = platform.Alone(file.Standalone()); err == nil {
+			cfg.Operator = env("RELAY_OPERATOR")
+		}
 	} else {
 		cfg, err = platform.Load(env)
 	}
@@ -202,7 +241,7 @@
 }
 
 // loadTranslation reads the file of the front for old terminals.
-func loadTranslation(path string, log *slog.Logger) (*platform.Config, []platform.Extra, error) {
+func loadTranslation(path, operator string, log *slog.Logger) (*platform.Config, []platform.Extra, error) {
 	file, err := kiosk.LoadConfig(path)
 	if err != nil {
 		return nil, nil, err
@@ -211,7 +250,7 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("%s: %w", path, err)
 	}
-	cfg.Operator, cfg.Limits.Sockets = file.Operator, file.Sockets
+	cfg.Operator, cfg.Limits.Sockets = cmp.Or(file.Operator, operator), file.Sockets
 	front, err := kiosk.New(file, cfg, log)
 	if err != nil {
 		return nil, nil, fmt.Errorf("%s: %w", path, err)
@@ -264,18 +303,10 @@
 	default:
 		return fmt.Errorf("%w: show, or ban, pin or lift with a prefix", errUsage)
 	}
-	c, err := lnet.Dial(d.addr, 5*time.Second, 1<<20)
+	reply, err := console.Call(d.addr, method, path, body, 0)
 	if err != nil {
 		return err
 	}
-	defer c.Close()
-	reply, err := c.Do(method, path, d.addr, nil, []byte(body), time.Now().Add(5*time.Second))
-	if err != nil {
-		return err
-	}
-	if reply.Status != 200 {
-		return fmt.Errorf("%d: %s", reply.Status, strings.TrimSpace(string(reply.Body)))
-	}
-	_, err = fmt.Fprintln(stdout, strings.TrimSpace(string(reply.Body)))
+	_, err = fmt.Fprintln(stdout, strings.TrimSpace(string(reply)))
 	return err
 }
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -60,6 +60,9 @@
 	Lift(p netip.Prefix)
 }
 
+// Fleeted is a State with a view of the fleet, to be shown as JSON; nil where there is none.
+type Fleeted interface{ Fleet() any }
+
 // Gated is a State with a gate, or nil where there is none.
 type Gated interface{ Gate() Gate }
 
@@ -86,12 +89,7 @@
 			only(x, "GET")
 			return true
 		}
-		b, err := json.Marshal(g.Figures(topMost))
-		if err != nil {
-			say(500, err.Error())
-			return true
-		}
-		x.Reply(lnet.Response{Status: 200, Type: "application/json", Body: b, Close: true})
+		show(x, say, g.Figures(topMost))
 	case "/ban", "/pin", "/lift":
 		if r.Method != "POST" {
 			only(x, "POST")
@@ -124,6 +122,34 @@
 	return true
 }
 
+// show replies with a value as JSON.
+func show(x *lnet.Exchange, say func(int, string), value any) {
+	b, err := json.Marshal(value)
+	if err != nil {
+		say(500, err.Error())
+		return
+	}
+	x.Reply(lnet.Response{Status: 200, Type: "application/json", Body: b, Close: true})
+}
+
+// fleet takes a call about the fleet. It returns false where there is none, or no such call.
+func (d *Door) fleet(r *lnet.Request, x *lnet.Exchange, say func(int, string)) bool {
+	s, ok := d.state.(Fleeted)
+	if !ok || r.Path != "/admin/fleet" {
+		return false
+	}
+	view := s.Fleet()
+	switch {
+	case view == nil:
+		return false
+	case r.Method != "GET":
+		only(x, "GET")
+	default:
+		show(x, say, view)
+	}
+	return true
+}
+
 // Door is an open door.
 type Door struct {
 	server *lnet.Server
@@ -156,7 +182,7 @@
 	say := func(status int, text string) {
 		x.Reply(lnet.Response{Status: status, Body: []byte(text + "\n"), Close: true})
 	}
-	if d.admission(r, x, say) {
+	if d.admission(r, x, say) || d.fleet(r, x, say) {
 		return nil
 	}
 	method := "GET"
@@ -173,12 +199,7 @@
 	case r.Path == "/admin/health":
 		say(503, "not serving")
 	case r.Path == "/admin/stats":
-		b, err := json.Marshal(d.state.Figures())
-		if err != nil {
-			say(500, err.Error())
-			return nil
-		}
-		x.Reply(lnet.Response{Status: 200, Type: "application/json", Body: b, Close: true})
+		show(x, say, d.state.Figures())
 	default:
 		id := strings.TrimSpace(string(r.Body))
 		if id == "" || len(id) > maxID || strings.ContainsAny(id, " \t\r\n") {
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -24,6 +24,7 @@
 
 	"lapislever/balance"
 	"lapislever/internal/core"
+	"lapislever/internal/fleet"
 	"lapislever/internal/wire"
 )
 
@@ -52,9 +53,10 @@
 	Known      *hostList      `json:"known"`
 	Settings   map[string]any `json:"settings"`
 
-	TempDir string    `json:"-"` // the platform's; an upgrade's two processes meet there
-	Before  *Config   `json:"-"` // what held until lately
-	Until   time.Time `json:"-"` // up to here requests may still come by that
+	TempDir string        `json:"-"` // the platform's; an upgrade's two processes meet there
+	Fleet   *fleet.Config `json:"-"` // of the view of the fleet; nil: there is none
+	Before  *Config       `json:"-"` // what held until lately
+	Until   time.Time     `json:"-"` // up to here requests may still come by that
 
 	raw map[string]any // the file as it was read
 
@@ -141,6 +143,16 @@
 	return c, c.derive()
 }
 
+// JoinFleet has the coordinator take part in a fleet. The module's messages go to its members; one that knows
+// no platform learns from the fleet's file how many of them there may be.
+func (c *Config) JoinFleet(f *fleet.Config) {
+	c.Fleet = f
+	c.Module.TellMost = fleet.MostMessage
+	if c.raw == nil {
+		c.Module.Peers, c.Module.Number, c.Module.CanTell = f.Size(), f.Place(), true
+	}
+}
+
 // decode reads one JSON value and no more; numbers stay as they are written.
 func decode(text []byte, v any) error {
 	d := json.NewDecoder(bytes.NewReader(text))
--- /dev/null
+++ b/internal/platform/fleet.go
@@ -0,0 +1,121 @@
+package platform
+
+// A coordinator's part in the fleet: when it joins, hands its place over, and leaves. What a member is and
+// who is alive others decide: internal/membership.
+
+import (
+	"fmt"
+	"time"
+
+	"lapislever/internal/core"
+	"lapislever/internal/fleet"
+	"lapislever/internal/membership"
+)
+
+const (
+	// joinSlack is how many periods a start waits at most to be let into the fleet: for one that nobody
+	// answers, and for another process of its name that does not answer either, and some.
+	joinSlack = 16
+	// leavePeriods is how long the end waits at most for others to hear of it.
+	leavePeriods = 3
+	bindEvery    = 200 * time.Millisecond
+)
+
+func (c *Config) fleetSockets() int {
+	if c.Fleet == nil {
+		return 0
+	}
+	return fleet.Sockets
+}
+
+// fleetCarriesPeers tells that the fleet's socket is the one for other coordinators, and carries what the
+// module has to say to them.
+func (c *Config) fleetCarriesPeers() bool {
+	return c.Fleet != nil && c.Fleet.Fleet.Listen == c.PeerListen
+}
+
+// joinFleet opens the fleet's socket and waits until this member is let in, or goes on alone. One that takes
+// over from another process begins once that one stops, see takeFleetOver.
+func (k *Coordinator) joinFleet(h *inheritance, beside bool) (err error) {
+	if h != nil && h.fleet != nil {
+		k.fleet, err = fleet.Open(k.cfg.Fleet, k.log, h.fleet)
+		return err
+	}
+	for k.fleet, err = fleet.Open(k.cfg.Fleet, k.log, nil); err != nil; {
+		if !beside {
+			return err
+		}
+		// The process beside this one has the socket and could not hand it over: it ends sooner or later.
+		k.log.Warn("waiting for the fleet's socket", "err", err)
+		time.Sleep(bindEvery)
+		k.fleet, err = fleet.Open(k.cfg.Fleet, k.log, nil)
+	}
+	if err = k.fleet.Begin(nil); err != nil {
+		return err
+	}
+	return k.awaitFleet()
+}
+
+// awaitFleet waits until this member is one.
+func (k *Coordinator) awaitFleet() error {
+	late := time.NewTimer(joinSlack * k.cfg.Fleet.Period())
+	defer late.Stop()
+	select {
+	case <-k.fleet.Joined():
+	case err := <-k.fleet.Refused():
+		k.fleet.Close()
+		return err
+	case <-late.C:
+		k.log.Warn("not let into the fleet in time: serving all the same")
+	}
+	return nil
+}
+
+// hearFleet hands the module what other members' modules have to say, and watches for a process that bears
+// this one's name and is older.
+func (k *Coordinator) hearFleet() {
+	for {
+		select {
+		case h := <-k.fleet.Heard():
+			k.core.Post(core.PeerMessage{Data: h.Data})
+		case err := <-k.fleet.Refused():
+			k.failed <- fmt.Errorf("refusing to serve: %w", err)
+			return
+		case <-k.stop:
+			return
+		}
+	}
+}
+
+// Failed hears once why this process must not go on serving.
+func (k *Coordinator) Failed() <-chan error { return k.failed }
+
+// takeFleetOver goes on as the member that the old process was, once that one has said where it stands. If it
+// does not, this process joins as a restarted one: at the same address nobody else can be.
+func (k *Coordinator) takeFleetOver() {
+	if k.fleet == nil || k.upgrade.place == nil {
+		return
+	}
+	var from *membership.Snapshot
+	select {
+	case from = <-k.upgrade.place:
+	case <-time.After(linkWait):
+		k.log.Warn("the old process has not said where it stands in the fleet: joining anew")
+	case <-k.stop:
+		return
+	}
+	if err := k.fleet.Begin(from); err != nil {
+		k.log.Error("no part in the fleet", "err", err)
+	}
+}
+
+// leaveFleet tells the others that this member goes, now that all is answered.
+func (k *Coordinator) leaveFleet(until time.Time) {
+	if k.fleet == nil {
+		return
+	}
+	wait := min(leavePeriods*k.cfg.Fleet.Period(), max(50*time.Millisecond, time.Until(until)))
+	if !k.fleet.Leave(wait) {
+		k.log.Warn("the fleet may not have heard that this member leaves")
+	}
+}
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -11,6 +11,7 @@
 	"net"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,8 @@
 	"lapislever/balance"
 	"lapislever/internal/admin"
 	"lapislever/internal/core"
+	"lapislever/internal/fleet"
+	"lapislever/internal/membership"
 	lnet "lapislever/internal/net"
 )
 
@@ -70,6 +73,8 @@
 	server    *lnet.Server
 	nodes     *Nodes
 	peers     *peers
+	fleet     *fleet.Fleet // nil: there is none
+	failed    chan error   // hears once why this process must not go on serving
 	extras    []Extra
 	door      *admin.Door
 	ending    atomic.Bool
@@ -95,9 +100,9 @@
 // Start starts a coordinator.
 func Start(cfg *Config, log *slog.Logger, extras ...Extra) (*Coordinator, error) {
 	k := &Coordinator{cfg: cfg, log: log, extras: extras, stop: make(chan struct{}),
-		listed: make(chan struct{}), conf: cfg}
+		listed: make(chan struct{}), conf: cfg, failed: make(chan error, 1)}
 	h, beside := inherit(cfg, log)
-	most := budgetOf(cfg.Limits.Sockets, cfg.Operator != "")
+	most := budgetOf(cfg.Limits.Sockets-cfg.fleetSockets(), cfg.Operator != "")
 	budget := lnet.NewBudget(most, most/nodeShare)
 	budget.LimitRings(cfg.Limits.MemoryMB << 20 / ringShare)
 	post := func(e core.Event) { k.core.Post(e) }
@@ -114,12 +119,18 @@
 	conf := core.Config{Settings: cfg.Module, Seed: cfg.seed(), Backends: backends, Log: log, Counts: counts,
 		Listed: func() { close(k.listed) }}
 	var err error
-	if cfg.PeerListen != "" {
+	if cfg.PeerListen != "" && !cfg.fleetCarriesPeers() {
 		if k.peers, err = listenPeers(cfg, log, post, h); err != nil {
 			return nil, err
 		}
 		conf.Peers = k.peers
 	}
+	if cfg.Fleet != nil {
+		if err = k.joinFleet(h, beside); err != nil {
+			return nil, err
+		}
+		conf.Peers = k.fleet
+	}
 	w := &watcher{cfg: cfg, log: log, nodes: k.nodes, post: post, on: make(chan bool, 16),
 		fetch: make(chan struct{}, 16), move: make(chan string), stop: k.stop, whole: make(chan struct{}),
 		beside: beside}
@@ -144,6 +155,9 @@
 	}
 	go k.core.Run()
 	k.upgrade = &upgrade{k: k, path: socketPath(cfg), budget: budget, all: most}
+	if h != nil && h.fleet != nil {
+		k.upgrade.place = make(chan *membership.Snapshot, 1)
+	}
 	if h != nil {
 		k.core.Post(core.Inherited{Out: h.greeting.Out, Since: h.greeting.Since,
 			Memory: h.greeting.Memory})
@@ -158,6 +172,9 @@
 		go k.peers.read()
 		go k.peers.write()
 	}
+	if k.fleet != nil {
+		go k.hearFleet()
+	}
 	if cfg.Discovery != "" {
 		go w.run(!cfg.Module.Subscribe)
 	}
@@ -172,10 +189,24 @@
 			log.Error("the operators' door stays shut: serving without it", "address", cfg.Operator, "err", err)
 		}
 	}
-	log.Info("started", "name", cfg.Name, "listen", cfg.Listen)
+	log.Info("started", "name", cfg.Name, "listen", k.listening())
 	return k, nil
 }
 
+// listening are the addresses that clients reach, on all fronts.
+func (k *Coordinator) listening() string {
+	var all []string
+	if k.server != nil {
+		all = append(all, k.server.Addr())
+	}
+	for _, x := range k.extras {
+		if l, ok := x.(interface{ Addr() string }); ok && k.accepting.Load() {
+			all = append(all, l.Addr())
+		}
+	}
+	return strings.Join(all, ",")
+}
+
 // accept begins to serve clients on all fronts.
 func (k *Coordinator) accept(budget *lnet.Budget) error {
 	defer k.accepting.Store(true)
@@ -214,6 +245,9 @@
 	}
 	k.front.ready.Store(!k.ending.Load())
 	k.upgrade.ready()
+	if beside {
+		k.takeFleetOver()
+	}
 }
 
 // doorSockets is how many descriptors the operators' door needs.
@@ -274,6 +308,14 @@
 	return nil
 }
 
+// Fleet is the view of the fleet; nil where there is none.
+func (d doorState) Fleet() any {
+	if d.k.fleet == nil {
+		return nil
+	}
+	return d.k.fleet.Status()
+}
+
 // gate is a keeper in the door's terms.
 type gate struct{ *lnet.Keeper }
 
@@ -325,6 +367,11 @@
 	for _, name := range kept {
 		k.log.Warn("a change of the configuration takes a restart", "field", name)
 	}
+	if k.fleet != nil && fresh.Fleet != nil {
+		for _, name := range k.fleet.Configure(fresh.Fleet) {
+			k.log.Warn("a change of the configuration takes a restart", "field", name)
+		}
+	}
 	if watched {
 		k.watcher.moveTo(fresh.Discovery)
 	}
@@ -412,6 +459,9 @@
 	for _, x := range ends {
 		x.Wait(max(50*time.Millisecond, time.Until(begun.Add(endingLimit))))
 	}
+	if !handed {
+		k.leaveFleet(begun.Add(endingLimit))
+	}
 	k.halt()
 	k.log.Info("ended", "took", time.Since(begun))
 }
@@ -472,6 +522,9 @@
 			k.door.Close()
 		}
 		k.core.Close()
+		if k.fleet != nil {
+			k.fleet.Close()
+		}
 		if k.peers != nil {
 			_ = k.peers.c.Close()
 		}
--- a/internal/platform/upgrade.go
+++ b/internal/platform/upgrade.go
@@ -26,6 +26,7 @@
 
 	"lapislever/balance"
 	"lapislever/internal/core"
+	"lapislever/internal/membership"
 	lnet "lapislever/internal/net"
 )
 
@@ -53,6 +54,7 @@
 	Most    int                                  `json:"most,omitempty"`    // old: descriptors for the new one
 	Ready   bool                                 `json:"ready,omitempty"`   // new: it serves
 	Cordon  *cordonWord                          `json:"cordon,omitempty"`  // both: an operator's call
+	Fleet   *membership.Snapshot                 `json:"fleet,omitempty"`   // old: where it stands in the fleet
 }
 
 type cordonWord struct {
@@ -159,6 +161,7 @@
 	greeting word
 	listener net.Listener
 	peers    *net.UDPConn
+	fleet    *net.UDPConn
 }
 
 // inherit asks the process that serves, if there is one, for its sockets, and tells whether one is there. A
@@ -198,7 +201,7 @@
 		return err
 	}
 	_ = h.link.c.SetReadDeadline(time.Now().Add(linkWait))
-	text, oob := make([]byte, 4096), make([]byte, unix.CmsgSpace(2*4))
+	text, oob := make([]byte, 4096), make([]byte, unix.CmsgSpace(3*4))
 	n, oobn, _, _, err := h.link.c.ReadMsgUnix(text, oob)
 	if err != nil {
 		return err
@@ -227,14 +230,12 @@
 				return err
 			}
 		case "peers":
-			p, err := net.FilePacketConn(files[i])
-			if err != nil {
+			if h.peers, err = datagrams(files[i]); err != nil {
 				return err
 			}
-			if u, ok := p.(*net.UDPConn); ok {
-				h.peers = u
-			} else {
-				_ = p.Close()
+		case "fleet":
+			if h.fleet, err = datagrams(files[i]); err != nil {
+				return err
 			}
 		}
 	}
@@ -244,6 +245,20 @@
 	return nil
 }
 
+// datagrams is the socket that a file holds.
+func datagrams(f *os.File) (*net.UDPConn, error) {
+	p, err := net.FilePacketConn(f)
+	if err != nil {
+		return nil, err
+	}
+	u, ok := p.(*net.UDPConn)
+	if !ok {
+		_ = p.Close()
+		return nil, errors.New("a socket came that is none for datagrams")
+	}
+	return u, nil
+}
+
 // received are the files that came beside a message.
 func received(oob []byte) (files []*os.File, err error) {
 	msgs, err := unix.ParseSocketControlMessage(oob)
@@ -268,8 +283,10 @@
 	if h.listener != nil {
 		_ = h.listener.Close()
 	}
-	if h.peers != nil {
-		_ = h.peers.Close()
+	for _, c := range []*net.UDPConn{h.peers, h.fleet} {
+		if c != nil {
+			_ = c.Close()
+		}
 	}
 	h.link.close()
 }
@@ -279,7 +296,8 @@
 	k      *Coordinator
 	path   string
 	budget *lnet.Budget
-	all    int // descriptors for clients and nodes, while there is one process
+	all    int                       // descriptors for clients and nodes, while there is one process
+	place  chan *membership.Snapshot // the old process's in the fleet; nil: none is to be taken over
 
 	mu        sync.Mutex // guards all below
 	asked     *net.UnixListener
@@ -291,7 +309,7 @@
 
 // shared is what two processes may take together for clients and nodes.
 func (u *upgrade) shared() int {
-	return max(4*endingSpare, u.k.cfg.Limits.Sockets-2*(leastSockets+u.k.doorSockets()))
+	return max(4*endingSpare, u.k.cfg.Limits.Sockets-2*(leastSockets+u.k.doorSockets()+u.k.cfg.fleetSockets()))
 }
 
 // limit bounds this process's descriptors and, while there are two, its memory and what it gives cold nodes.
@@ -391,6 +409,9 @@
 			u.serves = true
 			u.mu.Unlock()
 			u.k.log.Info("the successor serves")
+			if u.k.fleet != nil { // from now on that one is the member
+				l.say(word{Fleet: u.k.fleet.Release()})
+			}
 		}
 		u.obey(w)
 	})
@@ -405,6 +426,9 @@
 	if again { // it is this process again that is to be asked
 		u.k.log.Warn("the successor is gone")
 		u.limit(u.all, true)
+		if u.k.fleet != nil {
+			u.k.fleet.Again()
+		}
 		go u.open()
 	}
 }
@@ -445,14 +469,23 @@
 		return errors.New("the core is busy")
 	}
 	w := word{Out: said.Out, Since: said.Since, Memory: said.Memory, Most: u.rest(mine)}
-	return withFD(u.k.server.Listener(), func(listener int) error {
-		w.Sockets = []string{"listen"}
-		if u.k.peers == nil {
-			return l.write(w, listener)
-		}
-		w.Sockets = append(w.Sockets, "peers")
-		return withFD(u.k.peers.c, func(peers int) error { return l.write(w, listener, peers) })
-	})
+	socks := []any{u.k.server.Listener()}
+	w.Sockets = []string{"listen"}
+	if u.k.peers != nil {
+		socks, w.Sockets = append(socks, u.k.peers.c), append(w.Sockets, "peers")
+	}
+	if u.k.fleet != nil {
+		socks, w.Sockets = append(socks, u.k.fleet.Conn()), append(w.Sockets, "fleet")
+	}
+	return withFDs(socks, nil, func(fds []int) error { return l.write(w, fds...) })
+}
+
+// withFDs calls f with the descriptors of some sockets.
+func withFDs(socks []any, fds []int, f func(fds []int) error) error {
+	if len(socks) == 0 {
+		return f(fds)
+	}
+	return withFD(socks[0], func(fd int) error { return withFDs(socks[1:], append(fds, fd), f) })
 }
 
 // withFD calls f with a socket's descriptor, which stays open for as long as f runs.
@@ -483,6 +516,12 @@
 			if w.Most > 0 {
 				u.limit(w.Most, false)
 			}
+			if w.Fleet != nil && u.place != nil {
+				select {
+				case u.place <- w.Fleet:
+				default:
+				}
+			}
 			u.obey(w)
 		})
 		h.link.close()
--- /dev/null
+++ b/internal/rig/fleet.go
@@ -0,0 +1,664 @@
+package rig
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	lnet "lapislever/internal/net"
+	"lapislever/internal/standin"
+)
+
+// Settings is the settings object of a small deployment on the platform: two cells of one shard each, two
+// classes.
+const Settings = `{"azs":["praha","brno"],"zone":0,"me":0,"peersTotal":1,"quantumUs":5000,
+ "membershipMode":"automatic","callers":{"marksRetry":true},
+ "bounds":{"cancel":true,"secondCopies":true,"sendCap":4,"retryAfter":true,"maxRetryAfterUs":2000000,
+  "peers":false,"probes":true,"connIdleUs":15000000,"dialTimeoutUs":250000,"streamsPerConn":8,"maxOpen":200},
+ "extra":{"places":2,"reach":1,"slices":2,"bundleMax":1,"classNeed":[1.0,1.0],"leastShare":[1.0,1.0]},
+ "reporting":{"columns":["rps","waiting"],"via":"answers"},
+ "rules":{"coldFrom":0.18,"rampTimeUs":17000000,"fallMultiple":2.5,"fallUs":2000000},
+ "lanes":[{"name":"rate-check","goalTimeUs":1500000,"hardLimitUs":2000000,"idempotency":"read_like","worth":1,
+   "lateWorth":0.3},
+  {"name":"exchange-post","goalTimeUs":1500000,"hardLimitUs":2000000,"idempotency":"idempotency_key",
+   "windowUs":3000000,"worth":1}]}`
+
+// Config is what a rig is made of.
+type Config struct {
+	Dir     string // for logs and files; the caller's to remove
+	Members int
+	Seed    uint64
+	Period  time.Duration
+	Nodes   int     // data nodes; they hold the two cells in turn
+	Rate    float64 // queries a second and member
+	Keys    string  // text of the key file; empty: no keys
+	Out     *History
+}
+
+const (
+	portFleet = 7946
+	portDoor  = 9901
+	portFront = 5000
+	portNode  = 5000
+	portDisco = 8500
+	// pollEvery is the time between two looks at a member's view.
+	pollEvery = 40 * time.Millisecond
+	pollLimit = 400 * time.Millisecond
+)
+
+// Rig is a fleet of processes with what stands around them.
+type Rig struct {
+	cfg     Config
+	program string
+	net     [2]byte // of 127.a.b.0
+	History *History
+	mu      sync.Mutex // guards members' processes
+	members []*Member
+	links   map[[2]string]func(Fault) // by from and to
+	closers []func()
+	nodes   []*standin.Node
+	stop    chan struct{}
+	wait    sync.WaitGroup
+	asked   atomic.Int64
+	quiet   atomic.Bool // no new queries
+}
+
+// Member is one coordinator.
+type Member struct {
+	Name, Zone string
+	rig        *Rig
+	index      int
+	proc       *Proc
+	old        *Proc // while another one takes over from it
+	twin       int   // which of two doors the process in service has
+	up         atomic.Bool
+	downs      atomic.Int64 // times that it was killed, stopped or ended
+	view       atomic.Pointer[View]
+}
+
+// View is what a member's door says of the fleet.
+type View struct {
+	Self        string
+	Incarnation uint32
+	Digest      string
+	Alive       int
+	Members     []struct {
+		Name, Zone, Addr, State string
+		Incarnation             uint32
+		Since                   int64 `json:"since_ms"`
+	}
+	Figures struct {
+		Health   int
+		Dropped  map[string]int64
+		Conflict string
+		Differ   []string `json:"settings_differ"`
+		Refuted  int64
+		Stalls   int64
+	}
+}
+
+// State is a member's state in a view; empty: it is not there.
+func (v *View) State(name string) string {
+	for _, m := range v.Members {
+		if m.Name == name {
+			return m.State
+		}
+	}
+	return ""
+}
+
+// New builds the program and puts up what stands around the members; none is started yet.
+func New(cfg Config) (*Rig, error) {
+	program, err := Program()
+	if err != nil {
+		return nil, err
+	}
+	if cfg.Out == nil {
+		cfg.Out = NewHistory(nil)
+	}
+	r := &Rig{cfg: cfg, program: program, History: cfg.Out, links: map[[2]string]func(Fault){},
+		stop: make(chan struct{})}
+	if err := r.findNet(); err != nil {
+		return nil, err
+	}
+	for i := range cfg.Nodes {
+		n, err := standin.OpenNode(r.host(200+i, portNode), r.answer(fmt.Sprintf("n%d", i)))
+		if err != nil {
+			r.Close()
+			return nil, err
+		}
+		r.nodes = append(r.nodes, n)
+		r.closers = append(r.closers, n.Close)
+	}
+	if err := r.openDiscovery(); err != nil {
+		r.Close()
+		return nil, err
+	}
+	for range cfg.Members {
+		if _, err := r.Add(); err != nil {
+			r.Close()
+			return nil, err
+		}
+	}
+	return r, nil
+}
+
+// findNet takes a part of 127.0.0.0/8 that no other rig has: the first address of it is held by a socket.
+func (r *Rig) findNet() error {
+	for range 50 {
+		r.net = [2]byte{byte(16 + rand.IntN(200)), byte(2 * rand.IntN(127))}
+		l, err := net.Listen("tcp", r.host(254, 1999))
+		if err == nil {
+			r.closers = append(r.closers, func() { _ = l.Close() })
+			return nil
+		}
+	}
+	return errors.New("no part of 127.0.0.0/8 is free")
+}
+
+// host is an address of the rig; those of relays lie one net further.
+func (r *Rig) host(last, port int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", r.net[0], r.net[1], last, port)
+}
+
+func (r *Rig) relayHost(last, port int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", r.net[0], r.net[1]+1, last, port)
+}
+
+// answer serves each part with its id.
+func (r *Rig) answer(node string) func(p standin.Part) (string, string) {
+	return func(p standin.Part) (string, string) {
+		r.History.Note(Event{Kind: KindPart, Who: node, Query: p.ID})
+		return "S", "v:" + p.ID
+	}
+}
+
+type host struct {
+	Host   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Class  string  `json:"class"`
+	Block  int     `json:"block"`
+	Health string  `json:"health"`
+	Share  float64 `json:"share"`
+	Born   float64 `json:"born_ms"`
+}
+
+// openDiscovery starts the stand-in for discovery. Each member reaches the nodes over relays of its own, and
+// is known by the port that it asks at.
+func (r *Rig) openDiscovery() error {
+	for i := range 64 {
+		l, err := lnet.Listen(r.host(250, portDisco+i), lnet.NewBudget(32, 0), standin.Quiet(),
+			func(q *lnet.Request, x *lnet.Exchange) func() {
+				if strings.Contains(q.Query, "index=") { // nothing changes
+					return nil
+				}
+				list := []host{}
+				for j := range r.nodes {
+					list = append(list, host{Host: fmt.Sprintf("n%d", j), Dial: r.relayHost(1+i, portNode+1000+j),
+						Site: zones[j/2%2], Block: j % 2, Health: "in_service", Share: 1})
+				}
+				b, _ := json.Marshal(map[string]any{"seq": 1, "whole": true, "hosts": list})
+				x.Reply(lnet.Response{Status: 200, Type: "application/json", Body: b})
+				return nil
+			})
+		if err != nil {
+			return err
+		}
+		go l.Serve()
+		r.closers = append(r.closers, l.StopListening)
+	}
+	return nil
+}
+
+var zones = [2]string{"praha", "brno"}
+
+// Add makes one more member, with its relays; it is not started.
+func (r *Rig) Add() (*Member, error) {
+	i := len(r.members)
+	m := &Member{Name: fmt.Sprintf("m%02d", i), Zone: zones[i%2], rig: r, index: i}
+	for _, o := range r.members {
+		for _, pair := range [][2]*Member{{m, o}, {o, m}} {
+			from, to := pair[0], pair[1]
+			at, _ := net.ResolveUDPAddr("udp", from.route(to.index))
+			dst, _ := net.ResolveUDPAddr("udp", to.fleetAddr())
+			relay, err := newUDPRelay(at, dst, r.cfg.Seed*10_007+uint64(from.index)*101+uint64(to.index))
+			if err != nil {
+				return nil, err
+			}
+			r.links[[2]string{from.Name, to.Name}] = relay.set
+			r.closers = append(r.closers, relay.close)
+		}
+	}
+	tcp := func(at, to, name string) error {
+		relay, err := newTCPRelay(at, to)
+		if err == nil {
+			r.links[[2]string{m.Name, name}] = relay.set
+			r.closers = append(r.closers, relay.close)
+		}
+		return err
+	}
+	for j := range r.nodes {
+		at := r.relayHost(1+i, portNode+1000+j)
+		if err := tcp(at, r.host(200+j, portNode), fmt.Sprintf("n%d", j)); err != nil {
+			return nil, err
+		}
+	}
+	if err := tcp(r.relayHost(1+i, portDisco), r.host(250, portDisco+i), "discovery"); err != nil {
+		return nil, err
+	}
+	r.members = append(r.members, m)
+	r.wait.Add(1)
+	go m.poll()
+	if r.cfg.Rate > 0 {
+		r.wait.Add(1)
+		go m.ask()
+	}
+	return m, nil
+}
+
+// Member is a member by its name.
+func (r *Rig) Member(name string) *Member {
+	for _, m := range r.members {
+		if m.Name == name {
+			return m
+		}
+	}
+	return nil
+}
+
+// Members are all.
+func (r *Rig) Members() []*Member { return r.members }
+
+// Node is a data node.
+func (r *Rig) Node(i int) *standin.Node { return r.nodes[i] }
+
+// Link puts a fault on the link from one to another; those are members, data nodes (n0, n1, …) or
+// discovery, and the links of these come from members only.
+func (r *Rig) Link(from, to string, f Fault) {
+	if set := r.links[[2]string{from, to}]; set != nil {
+		set(f)
+	}
+}
+
+// Between puts a fault on all links between members.
+func (r *Rig) Between(f Fault) {
+	for _, a := range r.members {
+		for _, b := range r.members {
+			r.Link(a.Name, b.Name, f)
+		}
+	}
+}
+
+// Close ends all that the rig has started.
+func (r *Rig) Close() {
+	select {
+	case <-r.stop:
+		return
+	default:
+	}
+	close(r.stop)
+	for _, m := range r.members {
+		m.up.Store(false)
+		r.mu.Lock()
+		for _, p := range []*Proc{m.proc, m.old} {
+			if p != nil {
+				p.Kill()
+			}
+		}
+		r.mu.Unlock()
+	}
+	r.wait.Wait()
+	for _, c := range r.closers {
+		c()
+	}
+}
+
+func (m *Member) fleetAddr() string { return m.rig.host(1+m.index, portFleet) }
+func (m *Member) route(to int) string {
+	return m.rig.relayHost(1+m.index, portFleet+1000+to)
+}
+
+// Front is the address that clients reach.
+func (m *Member) Front() string { return m.rig.host(1+m.index, portFront) }
+
+// Door is the address of the operators' door of the process in service.
+func (m *Member) Door() string { return m.rig.host(1+m.index, portDoor+m.twin) }
+
+// Process is the process in service.
+func (m *Member) Process() *Proc {
+	m.rig.mu.Lock()
+	defer m.rig.mu.Unlock()
+	return m.proc
+}
+
+// file is the path of one of the member's files.
+func (m *Member) file(name string) string { return filepath.Join(m.rig.cfg.Dir, m.Name+"-"+name) }
+
+// LogPath is where the member's processes write their log.
+func (m *Member) LogPath() string { return m.file("log") }
+
+// write writes the files that a start of the member reads. edit changes the fleet's file.
+func (m *Member) write(edit ...string) (env []string, err error) {
+	r := m.rig
+	var fleet strings.Builder
+	fmt.Fprintf(&fleet, "[fleet]\nname = %q\nzone = %q\nlisten = %q\nmost = 64\n", m.Name, m.Zone, m.fleetAddr())
+	var join, routes []string
+	for _, o := range r.members {
+		if o != m {
+			routes = append(routes, fmt.Sprintf("%s = %q", o.Name, m.route(o.index)))
+			if o.index < 3 {
+				join = append(join, fmt.Sprintf("%q", m.route(o.index)))
+			}
+		}
+	}
+	fmt.Fprintf(&fleet, "join = [%s]\n", strings.Join(join, ", "))
+	if r.cfg.Keys != "" {
+		fleet.WriteString("keys = \"fleet.keys\"\n")
+		if err := os.WriteFile(filepath.Join(r.cfg.Dir, "fleet.keys"), []byte(r.cfg.Keys), 0o600); err != nil {
+			return nil, err
+		}
+	}
+	fmt.Fprintf(&fleet, "[fleet.route]\n%s\n[fleet.detect]\nperiod_ms = %d\n", strings.Join(routes, "\n"),
+		r.cfg.Period.Milliseconds())
+	text := strings.NewReplacer(edit...).Replace(fleet.String())
+	if err := os.WriteFile(m.file("fleet.toml"), []byte(text), 0o600); err != nil {
+		return nil, err
+	}
+	tmp := m.file("tmp")
+	if err := os.MkdirAll(tmp, 0o700); err != nil {
+		return nil, err
+	}
+	conf := fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"operator":%q,
+		"limits":{"cores":1,"memory_mb":192,"sockets":400},"settings":%s}`, m.Name, m.Front(),
+		r.relayHost(1+m.index, portDisco), m.Door(), Settings)
+	if err := os.WriteFile(m.file("config.json"), []byte(conf), 0o600); err != nil {
+		return nil, err
+	}
+	return []string{"RELAY_CONFIG=" + m.file("config.json"), "TMPDIR=" + tmp, "GOMAXPROCS=2"}, nil
+}
+
+// Rewrite writes the member's files anew, as for SIGHUP.
+func (m *Member) Rewrite(edit ...string) error {
+	_, err := m.write(edit...)
+	return err
+}
+
+// Start starts the member; edit changes the fleet's file.
+func (m *Member) Start(edit ...string) error {
+	env, err := m.write(edit...)
+	if err != nil {
+		return err
+	}
+	p, err := Start(m.rig.program, []string{"serve", "--fleet", m.file("fleet.toml")}, env, m.LogPath())
+	if err != nil {
+		return err
+	}
+	m.rig.mu.Lock()
+	m.proc = p
+	m.rig.mu.Unlock()
+	m.up.Store(true)
+	m.note("start")
+	return nil
+}
+
+func (m *Member) note(what string) {
+	m.rig.History.Note(Event{Kind: KindProcess, Who: m.Name, What: what})
+}
+
+// Kill ends the member without a word.
+func (m *Member) Kill() {
+	m.downs.Add(1)
+	m.up.Store(false)
+	m.note("kill")
+	m.Process().Kill()
+}
+
+// Stop and Cont are SIGSTOP and SIGCONT.
+func (m *Member) Stop() {
+	m.downs.Add(1)
+	m.up.Store(false)
+	m.note("stop")
+	m.Process().Signal(syscall.SIGSTOP)
+}
+
+// Cont lets a stopped member go on.
+func (m *Member) Cont() {
+	m.note("cont")
+	m.Process().Signal(syscall.SIGCONT)
+	m.up.Store(true)
+}
+
+// Term ends the member in order and waits for that; the exit status comes back.
+func (m *Member) Term() int {
+	m.note("term")
+	p := m.Process()
+	p.Signal(syscall.SIGTERM)
+	status := p.Wait(15 * time.Second)
+	m.downs.Add(1)
+	m.up.Store(false)
+	m.note(fmt.Sprintf("ended %d", status))
+	return status
+}
+
+// Hup has the member read its files anew.
+func (m *Member) Hup() { m.note("hup"); m.Process().Signal(syscall.SIGHUP) }
+
+// Upgrade has a new process take over, and ends the old one in order.
+func (m *Member) Upgrade() error {
+	old := m.Process()
+	m.note("upgrade")
+	was := m.Door()
+	m.twin = 1 - m.twin
+	env, err := m.write()
+	if err != nil {
+		return err
+	}
+	p, err := Start(m.rig.program, []string{"serve", "--fleet", m.file("fleet.toml")}, env, m.LogPath())
+	if err != nil {
+		return err
+	}
+	m.rig.mu.Lock()
+	m.proc, m.old = p, old
+	m.rig.mu.Unlock()
+	if !within(10*time.Second, func() bool {
+		c, err := call(m.Door(), "GET", "/admin/health", "")
+		return err == nil && c.Status == 200
+	}) {
+		return fmt.Errorf("the successor of %s at %s never served", m.Name, was)
+	}
+	old.Signal(syscall.SIGTERM)
+	status := old.Wait(15 * time.Second)
+	m.note(fmt.Sprintf("upgraded %d", status))
+	m.rig.mu.Lock()
+	m.old = nil
+	m.rig.mu.Unlock()
+	if status != 0 {
+		return fmt.Errorf("the old process of %s ended with %d", m.Name, status)
+	}
+	return nil
+}
+
+func within(d time.Duration, ok func() bool) bool {
+	for end := time.Now().Add(d); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			return false
+		}
+	}
+	return true
+}
+
+// call makes one call to a door.
+func call(addr, method, path, body string) (*lnet.Reply, error) {
+	c, err := lnet.Dial(addr, pollLimit, 4<<20)
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	return c.Do(method, path, addr, nil, []byte(body), time.Now().Add(pollLimit))
+}
+
+// Call makes one call to the member's door.
+func (m *Member) Call(method, path, body string) (*lnet.Reply, error) {
+	return call(m.Door(), method, path, body)
+}
+
+// View is what the member's door last said; nil: nothing yet, or the member is down.
+func (m *Member) View() *View {
+	if !m.up.Load() {
+		return nil
+	}
+	return m.view.Load()
+}
+
+// Up tells that the member runs.
+func (m *Member) Up() bool { return m.up.Load() }
+
+// poll looks at the member's view, and notes each change.
+func (m *Member) poll() {
+	defer m.rig.wait.Done()
+	var last string
+	for {
+		select {
+		case <-m.rig.stop:
+			return
+		case <-time.After(pollEvery):
+		}
+		downs := m.downs.Load()
+		if !m.up.Load() {
+			m.view.Store(nil)
+			last = ""
+			continue
+		}
+		reply, err := m.Call("GET", "/admin/fleet", "")
+		if err != nil || reply.Status != 200 {
+			continue
+		}
+		v := &View{}
+		if json.Unmarshal(reply.Body, v) != nil || downs != m.downs.Load() {
+			continue
+		}
+		m.view.Store(v)
+		e := Event{Kind: KindView, Who: m.Name, Digest: v.Digest, Members: map[string]string{},
+			Incs: map[string]uint32{}}
+		for _, x := range v.Members {
+			e.Members[x.Name], e.Incs[x.Name] = x.State, x.Incarnation
+		}
+		if now := fmt.Sprint(v.Digest, e.Members); now != last {
+			last = now
+			m.rig.History.Note(e)
+		}
+	}
+}
+
+// ask sends queries at the rig's rate, each on the next of a few connections as a client would, and notes how
+// each ended. The rate counts intended sends: one that is late does not hold up the next.
+func (m *Member) ask() {
+	defer m.rig.wait.Done()
+	tick := time.NewTicker(time.Duration(float64(time.Second) / m.rig.cfg.Rate))
+	defer tick.Stop()
+	var out sync.WaitGroup
+	defer out.Wait()
+	idle := make(chan *lnet.Client, 32)
+	for {
+		select {
+		case <-m.rig.stop:
+			return
+		case <-tick.C:
+		}
+		v := m.View()
+		if v == nil || m.rig.quiet.Load() {
+			continue
+		}
+		out.Add(1)
+		go func() {
+			defer out.Done()
+			m.one(idle)
+		}()
+	}
+}
+
+// one sends one query. Its one final answer has to be its own, and nothing may follow it.
+func (m *Member) one(idle chan *lnet.Client) {
+	n := m.rig.asked.Add(1)
+	id := fmt.Sprintf("q%06d", n)
+	class := []string{"rate-check", "exchange-post"}[n%2]
+	var c *lnet.Client
+	select {
+	case c = <-idle:
+	default:
+		var err error
+		if c, err = lnet.Dial(m.Front(), time.Second, 1<<20); err != nil {
+			return // it was never asked
+		}
+	}
+	downs, begun := m.downs.Load(), time.Now()
+	m.rig.History.Note(Event{Kind: KindQuery, Who: m.Name, Query: id})
+	head := [][2]string{{"X-Call-Id", id}, {"Idempotency-Key", "k" + id}}
+	reply, err := c.Do("POST", "/"+class, m.Front(), head,
+		[]byte(`{"slices":[{"slice":0,"mass":0.5},{"slice":1,"mass":0.5}],"filter":"c41e77d0"}`),
+		time.Now().Add(8*time.Second))
+	e := Event{Kind: KindAnswer, Who: m.Name, Query: id, Took: float64(time.Since(begun).Microseconds()) / 1000}
+	switch {
+	case err != nil && (downs != m.downs.Load() || !m.up.Load()):
+		e.What = "cut off with its coordinator"
+	case err != nil:
+		e.What = "none: " + err.Error()
+	default:
+		e.Status = reply.Status
+		want := strings.ReplaceAll(`{"entire":true,"items":[{"slice":0,"body":"v:ID.0"},`+
+			`{"slice":1,"body":"v:ID.1"}]}`, "ID", id)
+		if got := string(reply.Body); reply.Status == 200 && got != want {
+			e.What = "another's: " + got
+		}
+	}
+	m.rig.History.Note(e)
+	if err == nil && c.Sound() {
+		select {
+		case idle <- c:
+			return
+		default:
+		}
+	}
+	c.Close()
+}
+
+// Running are the members that run.
+func (r *Rig) Running() []*Member {
+	return slices.DeleteFunc(slices.Clone(r.members), func(m *Member) bool { return !m.Up() })
+}
+
+// Settled tells that all members given see one view, in which just they are alive, and none in doubt.
+func Settled(members []*Member) bool {
+	digest := ""
+	for _, m := range members {
+		v := m.View()
+		if v == nil || digest != "" && v.Digest != digest {
+			return false
+		}
+		digest = v.Digest
+		alive := 0
+		for _, x := range v.Members {
+			switch {
+			case x.State == "suspect":
+				return false
+			case x.State == "alive":
+				alive++
+			}
+		}
+		if alive != len(members) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/rig/race_off.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package rig
+
+const raced = false
--- /dev/null
+++ b/internal/rig/smoke_test.go
@@ -0,0 +1,63 @@
+package rig
+
+import (
+	"os"
+	"testing"
+	"time"
+)
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	Clean()
+	os.Exit(code)
+}
+
+// period is the fleet's period in tests on real processes.
+const period = 200 * time.Millisecond
+
+func open(t *testing.T, cfg Config) *Rig {
+	t.Helper()
+	cfg.Dir, cfg.Period = t.TempDir(), period
+	if cfg.Nodes == 0 {
+		cfg.Nodes = 4
+	}
+	r, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		r.Close()
+		if t.Failed() {
+			for _, m := range r.Members() {
+				if b, err := os.ReadFile(m.LogPath()); err == nil {
+					t.Logf("%s:\n%s", m.Name, b[max(0, len(b)-4000):])
+				}
+			}
+		}
+	})
+	for _, m := range r.Members() {
+		if err := m.Start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return r
+}
+
+// Three processes see each other; one is killed, and two say so at their doors.
+func TestThreeProcessesSeeOneDie(t *testing.T) {
+	r := open(t, Config{Members: 3, Seed: 1, Rate: 10})
+	if !within(30*time.Second, func() bool { return Settled(r.Running()) }) {
+		t.Fatal("the three never saw each other")
+	}
+	r.Member("m02").Kill()
+	begun := time.Now()
+	if !within(30*time.Second, func() bool { return Settled(r.Running()) }) {
+		t.Fatal("the death was not seen")
+	}
+	t.Logf("known to both after %.1f periods", float64(time.Since(begun))/float64(period))
+	for _, m := range r.Running() {
+		if s := m.View().State("m02"); s != "dead" {
+			t.Errorf("%s says that m02 is %s", m.Name, s)
+		}
+	}
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -130,10 +130,20 @@
 // NewNode starts a data node.
 func NewNode(t testing.TB, f func(p Part) (end, value string)) *Node {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	n, err := OpenNode("127.0.0.1:0", f)
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { n.Close() })
+	return n
+}
+
+// OpenNode starts a data node at an address.
+func OpenNode(addr string, f func(p Part) (end, value string)) (*Node, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
 	n := &Node{Addr: l.Addr().String(), l: l}
 	go func() {
 		for {
@@ -149,8 +159,7 @@
 			go n.serve(c, number, f)
 		}
 	}()
-	t.Cleanup(func() { n.Close() })
-	return n
+	return n, nil
 }
 
 // Close ends the node as a dying process does.
