--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -70,6 +70,8 @@
 	Stalls       int64            `json:"stalls"`
 	Rejoins      int64            `json:"rejoins"`
 	TurnedDown   int64            `json:"turned_down"`
+	Told         int64            `json:"module_messages_sent"`
+	ToldUs       int64            `json:"module_messages_received"`
 	Differ       []string         `json:"settings_differ"` // alive members whose roster differs from this one's
 	Conflict     string           `json:"conflict,omitempty"`
 	CrashKnownMS int64            `json:"crash_known_within_ms"`
@@ -97,6 +99,8 @@
 	closed chan struct{}
 	once   sync.Once
 	drops  [8]atomic.Int64 // by openErrors
+	told   atomic.Int64    // messages of the module sent
+	toldUs atomic.Int64    // and received
 
 	mu      sync.Mutex // guards what follows
 	running *run       // nil: another process of this member has the socket
@@ -297,7 +301,9 @@
 	}
 	call := func(v *membership.View) {
 		for _, name := range names {
-			v.Say(name, toModule, []byte(text))
+			if v.Say(name, toModule, []byte(text)) {
+				f.told.Add(1)
+			}
 		}
 	}
 	select {
@@ -390,6 +396,10 @@
 		f.tell(c)
 	}
 	for _, h := range heard {
+		if h.Kind != toModule {
+			continue
+		}
+		f.toldUs.Add(1)
 		select {
 		case f.heard <- h:
 		default:
@@ -462,6 +472,7 @@
 	s.Figures = Figures{PeriodMS: period, Health: g.Health, Sent: g.Sent, SentBytes: g.SentBytes,
 		Received: g.Received, Dropped: f.dropped(g), Probes: g.Probes, ProbesFailed: g.Failed, Votes: g.Votes,
 		Refuted: g.Refuted, Syncs: g.Syncs, Stalls: g.Stalls, Rejoins: g.Rejoins, TurnedDown: g.TurnedDown,
+		Told: f.told.Load(), ToldUs: f.toldUs.Load(),
 		Differ: differ, CrashKnownMS: int64(crashPeriods(s.Alive)) * period,
 		SettledMS: settlePeriods * period, ForgottenMS: map[string]int64{
 			"left": membership.ForgetLeft * period, "dead": membership.ForgetDead * period}}
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,203 @@
+package fleet
+
+import (
+	"bytes"
+	"crypto/rand"
+	"encoding/base64"
+	"errors"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"lapislever/internal/membership"
+	"lapislever/internal/standin"
+)
+
+func write(t testing.TB, dir, name, text string) string {
+	t.Helper()
+	path := filepath.Join(dir, name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func newKey() string {
+	var b [keySize]byte
+	_, _ = rand.Read(b[:])
+	return base64.StdEncoding.EncodeToString(b[:])
+}
+
+const sound = `[fleet]
+name = "a1"
+zone = "praha"
+listen = "127.0.0.1:7946"
+join = ["127.0.0.2:7946", "127.0.0.1:7946"]
+roster = ["a1", "b1"]
+[fleet.route]
+b1 = "127.1.0.2:7946"
+`
+
+func TestFile(t *testing.T) {
+	dir := t.TempDir()
+	c, err := Load(write(t, dir, "ok.toml", sound))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(c.view.Join) != 1 || c.view.Route["b1"].String() != "127.1.0.2:7946" || c.Period() != 200*time.Millisecond ||
+		c.Size() != 2 || c.Place() != 0 {
+		t.Fatalf("%+v", c)
+	}
+	other, err := Load(write(t, dir, "other.toml", strings.Replace(sound, `"b1"]`, `"b1", "c1"]`, 1)))
+	if err != nil || other.view.Stamp == c.view.Stamp {
+		t.Fatal("another roster has the same stamp", err)
+	}
+	write(t, dir, "short.keys", "AAAA\n")
+	// Every fault is told, with its line, and all of one file at once.
+	bad := `[fleet]
+name = "a 1"
+zone = "` + strings.Repeat("z", 99) + `"
+listen = "localhost:1"
+join = ["10.0.0.1:7946", "10.0.0.1:7946"]
+keys = "short.keys"
+roster = ["b1", "b1"]
+most = 3
+colour = "red"
+[fleet.route]
+b1 = "nowhere"
+[fleet.detect]
+period_ms = 1
+`
+	_, err = Load(write(t, dir, "bad.toml", bad))
+	if err == nil {
+		t.Fatal("taken")
+	}
+	for _, want := range []string{"bad.toml:2: fleet.name", "bad.toml:3: fleet.zone", "bad.toml:4: fleet.listen",
+		"bad.toml:5: fleet.join: 10.0.0.1:7946 is there twice", "bad.toml:6: fleet.keys", "short.keys:1",
+		"bad.toml:7: fleet.roster: b1 is there twice", "bad.toml:7: fleet.roster: lacks this member",
+		"bad.toml:8: fleet.most", "bad.toml:9: unknown key fleet.colour", "bad.toml:11: fleet.route.b1",
+		"bad.toml:13: fleet.detect.period_ms"} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("not told: %s", want)
+		}
+	}
+	if strings.Contains(err.Error(), "AAAA") {
+		t.Error("a key's text is told")
+	}
+	for what, edit := range map[string][2]string{
+		"without it loopback addresses only": {"127.0.0.2", "10.0.0.2"},
+		"one has to be there":                {`roster = ["a1", "b1"]`, ""},
+	} {
+		_, err := Load(write(t, dir, "x.toml", strings.Replace(sound, edit[0], edit[1], 1)))
+		if err == nil || !strings.Contains(err.Error(), what) {
+			t.Errorf("%s: %v", what, err)
+		}
+	}
+}
+
+func ring(t testing.TB, keys ...string) *keyring {
+	t.Helper()
+	if len(keys) == 0 {
+		return &keyring{}
+	}
+	k, err := loadKeys(write(t, t.TempDir(), "keys", "# ours\n\n"+strings.Join(keys, "\n")+"\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return k
+}
+
+// Each datagram that can't be opened is told apart by why.
+func TestSeal(t *testing.T) {
+	k1, k2 := newKey(), newKey()
+	first, both, second, plain := ring(t, k1), ring(t, k2, k1), ring(t, k2), ring(t)
+	content := bytes.Repeat([]byte("x"), membership.MaxPlain)
+	sealed, open := first.seal(content), plain.seal(content)
+	if len(sealed) > maxDatagram || len(open) > maxDatagram {
+		t.Fatalf("%d and %d bytes", len(sealed), len(open))
+	}
+	flip := func(b []byte, at int) []byte {
+		c := bytes.Clone(b)
+		c[at] ^= 4
+		return c
+	}
+	for _, c := range []struct {
+		what string
+		k    *keyring
+		b    []byte
+		err  error
+	}{
+		{"same key", first, sealed, nil}, {"second key", both, sealed, nil}, {"no key", plain, open, nil},
+		{"other key", second, sealed, errKey}, {"none of ours", plain, sealed, errKey},
+		{"unsealed", first, open, errUnsealed}, {"long", plain, append(bytes.Clone(sealed), 'x'), errLong},
+		{"empty", first, nil, errCut}, {"cut", first, sealed[:20], errCut}, {"cut plain", plain, open[:9], errCut},
+		{"a bit", first, flip(sealed, 100), errDamaged}, {"nonce", first, flip(sealed, 5), errDamaged},
+		{"the end is gone", first, sealed[:len(sealed)-1], errDamaged}, {"plain bit", plain, flip(open, 40), errDamaged},
+		{"version", first, append([]byte{0xF7}, sealed[1:]...), errVersion},
+		{"the module's own message", first, []byte("\x31abcde"), errForeign},
+	} {
+		if c.what == "long" {
+			c.b = append(bytes.Clone(sealed), 'x')
+		}
+		got, err := c.k.open(c.b)
+		if !errors.Is(err, c.err) || err == nil && !bytes.Equal(got, content) {
+			t.Errorf("%s: %v, not %v", c.what, err, c.err)
+		}
+	}
+	if again := first.seal(content); bytes.Equal(again, sealed) {
+		t.Error("two seals of one content are the same")
+	}
+}
+
+func FuzzOpen(f *testing.F) {
+	k, plain := ring(f, newKey()), ring(f)
+	f.Add(k.seal([]byte("content")))
+	f.Add(plain.seal([]byte("content")))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		for _, x := range []*keyring{k, plain} {
+			if got, err := x.open(b); err == nil && len(got) == 0 {
+				t.Fatal("nothing was opened")
+			}
+		}
+	})
+}
+
+// What is dropped is counted by its reason where operators look, and does no harm.
+func TestBadDatagramsAreCounted(t *testing.T) {
+	c, err := Load(write(t, t.TempDir(), "f.toml", strings.NewReplacer("127.0.0.1:7946", "127.0.0.1:17999",
+		`"127.0.0.2:7946", `, "").Replace(sound)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := Open(c, standin.Quiet(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	if err := f.Begin(nil); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Open(c, standin.Quiet(), nil); err == nil {
+		t.Fatal("two processes have one address")
+	}
+	<-f.Joined()
+	s, err := net.Dial("udp", "127.0.0.1:17999")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	plain := &keyring{}
+	for _, b := range [][]byte{[]byte("module's"), {0xF9, 1}, ring(t, newKey()).seal([]byte("x")), {0xF1, 2},
+		plain.seal([]byte("no message of ours")), make([]byte, 300)} {
+		_, _ = s.Write(b)
+	}
+	for _, why := range []string{"foreign", "version", "key", "cut", "malformed", "long"} {
+		standin.Until(t, why, func() bool { return f.Status().Figures.Dropped[why] == 1 })
+	}
+	if st := f.Status(); st.Alive != 1 || len(st.Members) != 1 || st.Incarnation != 1 {
+		t.Fatalf("%+v", st)
+	}
+}
--- a/internal/membership/claim.go
+++ b/internal/membership/claim.go
@@ -79,14 +79,14 @@
 	return binary.LittleEndian.AppendUint16(b, a.Port())
 }
 
-// claimed hears that a process of our name runs elsewhere; or passes that on for a member.
+// claimed hears that a process of our name runs elsewhere; or passes that on.
 func (v *View) claimed(from *member, msg message) {
 	if len(msg.entries) == 0 || !msg.entries[0].full {
 		return
 	}
 	r := msg.entries[0].record
 	if r.name != v.self.name || msg.addr != v.self.addr {
-		if from != nil && msg.hops > 0 {
+		if msg.hops > 0 && v.spend() { // of a stranger too: nobody else may take its word to the other one
 			b := binary.LittleEndian.AppendUint32(appendAddr(v.begin(kindClaim), msg.addr), msg.inc)
 			b, _ = put(append(b, 0), msg.entries[0])
 			v.send(v.to(r.name, msg.addr), b, false)
@@ -128,10 +128,10 @@
 	}
 }
 
-// judged hears which of two processes of our name has to give way; or passes that on for a member.
-func (v *View) judged(from *member, msg message) {
+// judged hears which of two processes of our name has to give way; or passes that on.
+func (v *View) judged(msg message) {
 	if msg.other != v.self.birth {
-		if from != nil && msg.hops > 0 {
+		if msg.hops > 0 && v.spend() {
 			b := append(appendAddr(v.begin(kindVerdict), msg.addr), 0)
 			b = binary.LittleEndian.AppendUint64(b, msg.birth)
 			v.send(msg.addr, binary.LittleEndian.AppendUint64(b, msg.other), false)
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -97,6 +97,7 @@
 	if first {
 		v.housekeep()
 		v.callTheDead()
+		v.pushBacklog()
 	}
 	if busy := slices.ContainsFunc(v.watches, func(w watch) bool { return !w.agree }); first || busy {
 		v.probeNext()
@@ -182,7 +183,7 @@
 		w.agree = w.agree && agree
 		return
 	}
-	if m.state != Alive || len(v.watches) >= watchMost {
+	if m.state != Alive || len(v.watches) >= agreeMost || !agree && len(v.watches) >= watchMost {
 		return
 	}
 	v.counted = false
@@ -206,7 +207,7 @@
 		return
 	}
 	id := v.ping(m, false)
-	if v.slot != 0 {
+	if v.slot != 0 && !(w.agree && v.slot > 1) {
 		w.helper += v.askHelpers(id, m, w.helper)
 	}
 }
@@ -288,6 +289,18 @@
 	v.push(v.others(helpersMost, m.birth), e)
 }
 
+// pushBacklog sends news that has piled up: at a mass start the probes alone could not carry it.
+func (v *View) pushBacklog() {
+	for range pushMost {
+		if len(v.news.levels) == 0 || len(v.news.levels[0]) < backlog {
+			return
+		}
+		for _, m := range v.others(1, 0) {
+			v.sendTo(m, v.begin(kindNews), true)
+		}
+	}
+}
+
 // push sends news to some members at once.
 func (v *View) push(to []*member, e entry) {
 	for _, m := range to {
@@ -459,18 +472,14 @@
 // callTheDead calls on one that is dead, or on an address of join that nobody alive has, now and then.
 func (v *View) callTheDead() {
 	var dead []*member
-	known := map[netip.AddrPort]bool{v.self.addr: true}
+	join := slices.DeleteFunc(slices.Clone(v.cfg.Join), func(a netip.AddrPort) bool { return a == v.self.addr })
 	for _, m := range v.list {
 		if m.state == Dead {
 			dead = append(dead, m)
 		}
-		known[m.addr], known[v.to(m.name, m.addr)] = true, true
-	}
-	var join []netip.AddrPort
-	for _, a := range v.cfg.Join {
-		if !known[a] {
-			join = append(join, a)
-		}
+		join = slices.DeleteFunc(join, func(a netip.AddrPort) bool {
+			return a == m.addr || a == v.to(m.name, m.addr)
+		})
 	}
 	n := len(dead) + len(join)
 	alive, _ := v.alive()
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	mostKnocks = 64
+	mostKnocks = 512
 	incMost    = 1 << 31 // no incarnation comes near it in earnest
 )
 
@@ -170,7 +170,7 @@
 	case kindClaim:
 		v.claimed(m, msg)
 	case kindVerdict:
-		v.judged(m, msg)
+		v.judged(msg)
 	case kindTurned:
 		v.figures.TurnedDown++
 	case kindApp:
@@ -201,7 +201,7 @@
 	case kindClaim:
 		v.claimed(nil, msg)
 	case kindVerdict:
-		v.judged(nil, msg)
+		v.judged(msg)
 	}
 }
 
@@ -245,7 +245,7 @@
 	case kindClaim:
 		v.claimed(nil, msg)
 	case kindVerdict:
-		v.judged(nil, msg)
+		v.judged(msg)
 	case kindTurned:
 		v.figures.TurnedDown++
 	default:
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -6,8 +6,9 @@
 import "encoding/binary"
 
 const (
-	treeDepth = 8 // nibbles of a key
-	fewLines  = 8 // records of a node of the tree that are sent without looking deeper
+	treeDepth = 8  // nibbles of a key
+	fewLines  = 8  // records of a node of the tree that are sent without looking deeper
+	bulk      = 12 // of the 16 sums at the root: if so many differ, all records are sent in brief
 )
 
 // compare begins a sync with a member whose digest differs, unless news is on its way anyhow.
@@ -81,6 +82,16 @@
 	}
 	v.syncAt = max(v.syncAt, v.now+v.cfg.Period)
 	sums, counts := v.sums(msg.depth, msg.prefix)
+	differ := 0
+	for c := range sums {
+		if sums[c] != msg.sums[c] {
+			differ++
+		}
+	}
+	if msg.depth == 0 && differ >= bulk {
+		v.sendRecords(m, 0, 0, false, true)
+		return
+	}
 	first := uint32(v.rand(16)) // so that what the budget leaves out is not always the same
 	for i := range uint32(16) {
 		c := (first + i) & 15
@@ -122,8 +133,12 @@
 	if inNode(treeKey(v.self.name), depth, prefix) {
 		lines = append(lines, v.me())
 	}
-	for _, x := range v.list {
-		if x != m && inNode(x.key, depth, prefix) {
+	first := 0
+	if len(v.list) > 0 {
+		first = v.rand(len(v.list)) // so that what the budget leaves out is not always the same
+	}
+	for i := range v.list {
+		if x := v.list[(first+i)%len(v.list)]; x != m && inNode(x.key, depth, prefix) {
 			lines = append(lines, v.entryOf(x, full))
 		}
 	}
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -42,14 +42,16 @@
 	helpersMost = 3  // asked at a time to probe somebody
 	watchers    = 5  // that are told of a silent member, by rendezvous hashing
 	votesMost   = 3  // that a death may take
-	watchMost   = 16 // watched at a time
+	watchMost   = 16 // watched at a time on own evidence,
+	agreeMost   = 32 // and with those that others' votes are looked after
 	healthMost  = 8
-	newsFactor  = 3 // each news goes out so many times log2(n+1) times
-	syncMost    = 16
-	joinCalls   = 3 // addresses called a period while nobody is known
-	claimFor    = 6 // periods that one of our name is called for
-	joinFor     = 5 // periods until one that nobody answers goes on alone
-	closeAge    = 2 // periods; of two of one name that began so close the births tell
+	newsFactor  = 3  // each news goes out so many times log2(n+1) times
+	syncMost    = 32 // datagrams a period
+	pushMost    = 4  // datagrams a period beyond, while news waits that was never sent
+	joinCalls   = 3  // addresses called a period while nobody is known
+	claimFor    = 6  // periods that one of our name is called for
+	joinFor     = 5  // periods until one that nobody answers goes on alone
+	closeAge    = 2  // periods; of two of one name that began so close the births tell
 
 	// ForgetLeft and ForgetDead are the periods after which those who left, or died, are forgotten.
 	ForgetLeft = 1_500
--- a/internal/membership/wire.go
+++ b/internal/membership/wire.go
@@ -39,6 +39,7 @@
 	fullBit  = 0x80
 	typeBits = 0x07
 	ageMost  = 1<<16 - 1
+	backlog  = 8 // pieces of news never sent: more than the probes of a period carry
 )
 
 // What an entry tells.
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -21,10 +21,10 @@
 
 // Settings is the settings object of a small deployment on the platform: two cells of one shard each, two
 // classes.
-const Settings = `{"azs":["praha","brno"],"zone":0,"me":0,"peersTotal":1,"quantumUs":5000,
+const Settings = `{"azs":["praha","brno"],"zone":0,"me":0,"peersTotal":8,"quantumUs":5000,
  "membershipMode":"automatic","callers":{"marksRetry":true},
  "bounds":{"cancel":true,"secondCopies":true,"sendCap":4,"retryAfter":true,"maxRetryAfterUs":2000000,
-  "peers":false,"probes":true,"connIdleUs":15000000,"dialTimeoutUs":250000,"streamsPerConn":8,"maxOpen":200},
+  "peers":true,"probes":true,"connIdleUs":15000000,"dialTimeoutUs":250000,"streamsPerConn":8,"maxOpen":200},
  "extra":{"places":2,"reach":1,"slices":2,"bundleMax":1,"classNeed":[1.0,1.0],"leastShare":[1.0,1.0]},
  "reporting":{"columns":["rps","waiting"],"via":"answers"},
  "rules":{"coldFrom":0.18,"rampTimeUs":17000000,"fallMultiple":2.5,"fallUs":2000000},
--- /dev/null
+++ b/internal/rig/process_test.go
@@ -0,0 +1,353 @@
+package rig
+
+import (
+	"crypto/rand"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+const patience = 30 * time.Second
+
+func awaitSettled(t *testing.T, r *Rig, what string) {
+	t.Helper()
+	if !within(patience, func() bool { return Settled(r.Running()) }) {
+		t.Fatalf("no one view: %s", what)
+	}
+}
+
+// A second process of a member's name, at another address, refuses to serve and ends with an error; the
+// first one goes on, both say so, and nobody else notices.
+func TestTheLaterOfTwoRefusesToServe(t *testing.T) {
+	r := open(t, Config{Members: 4, Seed: 21, Rate: 5})
+	awaitSettled(t, r, "start")
+	elder, later := r.Member("m00"), r.Member("m03")
+	if later.Term() != 0 {
+		t.Fatal("m03 did not end")
+	}
+	before := len(r.History.Events())
+	if err := later.Start(`name = "m03"`, `name = "m00"`, "\nm00 = ", "\nm03 = "); err != nil {
+		t.Fatal(err)
+	}
+	if status := later.Process().Wait(patience); status != 1 {
+		t.Fatalf("the later one ended with %d", status)
+	}
+	later.up.Store(false)
+	for who, want := range map[*Member]string{elder: "another process bears this member's name",
+		later: "another process bears this member's name and has run for longer"} {
+		if !within(patience, func() bool {
+			log, _ := os.ReadFile(who.LogPath())
+			return strings.Contains(string(log), want)
+		}) {
+			t.Errorf("%s does not say: %s", who.Name, want)
+		}
+	}
+	time.Sleep(20 * period)
+	if elder.Process().Ended() || elder.View().Figures.Conflict == "" {
+		t.Error("the elder one does not go on, or does not show it")
+	}
+	for _, e := range r.History.Events()[before:] {
+		if e.Kind == KindView && e.Members["m00"] != "alive" {
+			t.Fatalf("%s sees m00 %s", e.Who, e.Members["m00"])
+		}
+	}
+	// At the very same address there can't be two.
+	p, err := Start(r.program, []string{"serve", "--fleet", elder.file("fleet.toml")},
+		[]string{"RELAY_CONFIG=" + later.file("config.json"), "TMPDIR=" + t.TempDir()}, later.file("twin"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if status := p.Wait(patience); status != 1 {
+		t.Fatalf("a process at a taken address ended with %d", status)
+	}
+}
+
+// Keys change in service: the new one is added everywhere, then goes first, then the old one goes; and a
+// member with a foreign key sees nobody and is seen by nobody.
+func TestKeysChangeInService(t *testing.T) {
+	key := func() string {
+		b := make([]byte, 32)
+		_, _ = rand.Read(b)
+		return base64.StdEncoding.EncodeToString(b)
+	}
+	one, two := key(), key()
+	r := open(t, Config{Members: 4, Seed: 22, Rate: 5, Keys: one})
+	awaitSettled(t, r, "start")
+	keys := func(text string) {
+		t.Helper()
+		r.cfg.Keys = text
+		for _, m := range r.Members()[:3] { // the fourth one is forgotten
+			if err := m.Rewrite(); err != nil {
+				t.Fatal(err)
+			}
+			m.Hup()
+			time.Sleep(3 * period)
+		}
+	}
+	// Rewrite writes the one file that all read, but only who gets a SIGHUP reads it.
+	keys(one + "\n" + two)
+	keys(two + "\n" + one)
+	for _, e := range r.History.Events() {
+		for name, state := range e.Members {
+			if e.Kind == KindView && state == "dead" {
+				t.Fatalf("%s sees %s dead after %.0f ms", e.Who, name, e.MS)
+			}
+		}
+	}
+	keys(two)
+	three := r.Members()[:3]
+	if !within(patience, func() bool {
+		for _, m := range three {
+			if v := m.View(); v == nil || v.State("m03") != "dead" || v.Alive != 3 {
+				return false
+			}
+		}
+		return r.Member("m03").View().Alive == 1
+	}) {
+		t.Fatal("the member without the new key is still heard")
+	}
+	if r.Member("m03").View().Figures.Dropped["key"] == 0 {
+		t.Error("foreign keys are not counted")
+	}
+	if err := r.Member("m03").Rewrite(); err != nil {
+		t.Fatal(err)
+	}
+	r.Member("m03").Hup()
+	awaitSettled(t, r, "all have the new key")
+}
+
+// Members whose rosters differ show that.
+func TestRostersThatDifferAreShown(t *testing.T) {
+	r := open(t, Config{Members: 3, Seed: 23})
+	awaitSettled(t, r, "start")
+	m := r.Member("m01")
+	if err := m.Rewrite("most = 64", "most = 65"); err != nil {
+		t.Fatal(err)
+	}
+	m.Hup()
+	if !within(patience, func() bool {
+		a, b := r.Member("m00").View(), m.View()
+		return len(a.Figures.Differ) == 1 && a.Figures.Differ[0] == "m01" && len(b.Figures.Differ) == 2
+	}) {
+		t.Fatalf("not shown: %+v", r.Member("m00").View().Figures)
+	}
+}
+
+// The fleet takes each kind of front, and the door opens with each; the modules hear of one another.
+func TestEveryFrontTakesPart(t *testing.T) {
+	program, err := Program()
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	r := &Rig{}
+	if err := r.findNet(); err != nil {
+		t.Fatal(err)
+	}
+	defer r.closers[0]()
+	fronts := []string{"promql", "translate", "promql"}
+	files := map[string]string{"promql": `listen = "%s"
+[[server]]
+name = "a"
+address = "127.0.0.1:9"
+`, "translate": `listen = "%s"
+[[class]]
+name = "rate-check"
+effect = "safe"
+aim_s = 1.0
+deadline_s = 2.0
+worth = 1.0
+[[server]]
+name = "a"
+address = "127.0.0.1:9"
+form = "old"
+cell = 0
+`}
+	var procs []*Proc
+	for i, kind := range fronts {
+		front := filepath.Join(dir, fmt.Sprint("front", i))
+		file := filepath.Join(dir, fmt.Sprint("fleet", i))
+		fleet := fmt.Sprintf("[fleet]\nname = \"f%d\"\nlisten = %q\njoin = [%q]\nroster = [\"f0\", \"f1\", \"f2\"]\n", i,
+			r.host(1+i, portFleet), r.host(1, portFleet))
+		for path, text := range map[string]string{front: fmt.Sprintf(files[kind], r.host(1+i, portFront)),
+			file: fleet} {
+			if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		p, err := Start(program, []string{"serve", "--" + kind, front, "--fleet", file},
+			[]string{"RELAY_CONFIG=", "RELAY_OPERATOR=" + r.host(1+i, portDoor)}, filepath.Join(dir, fmt.Sprint("log", i)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer p.Kill()
+		procs = append(procs, p)
+	}
+	for i := range fronts {
+		if !within(patience, func() bool {
+			reply, err := call(r.host(1+i, portDoor), "GET", "/admin/fleet", "")
+			var v View
+			return err == nil && reply.Status == 200 && json.Unmarshal(reply.Body, &v) == nil && v.Alive == 3
+		}) {
+			log, _ := os.ReadFile(procs[i].Log)
+			t.Fatalf("%s does not see all:\n%s", fronts[i], log)
+		}
+	}
+	// Without --fleet there is no socket and no call.
+	p, err := Start(program, []string{"serve", "--promql", filepath.Join(dir, "front0")}, []string{"RELAY_CONFIG=",
+		"RELAY_OPERATOR=" + r.host(9, portDoor)}, filepath.Join(dir, "log9"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Kill()
+	if !within(patience, func() bool {
+		reply, err := call(r.host(9, portDoor), "GET", "/admin/fleet", "")
+		return err == nil && reply.Status == 404
+	}) {
+		t.Fatal("a coordinator without --fleet speaks of one")
+	}
+}
+
+// What other coordinators' modules have to say reaches those that are alive, and nothing goes to the dead.
+func TestModulesHearOfOneAnother(t *testing.T) {
+	r := open(t, Config{Members: 3, Seed: 24, Rate: 40})
+	awaitSettled(t, r, "start")
+	figures := func(m *Member) (sent, got int64) {
+		reply, err := m.Call("GET", "/admin/fleet", "")
+		if err != nil {
+			return 0, 0
+		}
+		var v struct {
+			Figures struct {
+				Sent int64 `json:"module_messages_sent"`
+				Got  int64 `json:"module_messages_received"`
+			}
+		}
+		_ = json.Unmarshal(reply.Body, &v)
+		return v.Figures.Sent, v.Figures.Got
+	}
+	if !within(patience, func() bool {
+		for _, m := range r.Members() {
+			if _, got := figures(m); got < 3 {
+				return false
+			}
+		}
+		return true
+	}) {
+		t.Fatal("the modules do not hear of one another")
+	}
+}
+
+// A history with a fault in it is found to have one.
+func TestTheCheckerFinds(t *testing.T) {
+	view := func(who, digest, state string, inc uint32) Event {
+		return Event{Kind: KindView, Who: who, Digest: digest, Members: map[string]string{"m01": state},
+			Incs: map[string]uint32{"m01": inc}}
+	}
+	up := Event{Kind: KindProcess, Who: "m01", What: "start"}
+	for what, events := range map[string][]Event{
+		"answered 2 times":      {{Kind: KindQuery, Query: "q"}, {Kind: KindAnswer, Query: "q"}, {Kind: KindAnswer, Query: "q"}},
+		"never answered":        {{Kind: KindQuery, Query: "q"}},
+		"which ran":             {{Kind: KindQuery, Query: "q"}, {Kind: KindAnswer, Query: "q", What: "cut off"}},
+		"which nobody asked":    {{Kind: KindPart, Who: "n0", Query: "q.1"}},
+		"another's":             {{Kind: KindQuery, Query: "q"}, {Kind: KindAnswer, Query: "q", What: "another's: x"}},
+		"went back from 2 to 1": {up, view("m00", "a", "alive", 2), view("m00", "b", "alive", 1)},
+		"stands for":            {up, view("m00", "a", "alive", 1), view("m02", "a", "left", 1)},
+		"dead, which runs":      {up, view("m00", "a", "dead", 1)},
+	} {
+		if got := strings.Join(Check(events, true), "; "); !strings.Contains(got, what) {
+			t.Errorf("%s is not found, but %q", what, got)
+		}
+	}
+	if got := Check([]Event{up, view("m00", "a", "alive", 1), {Kind: KindQuery, Query: "q"},
+		{Kind: KindAnswer, Query: "q"}}, true); len(got) > 0 {
+		t.Errorf("a sound history has %v", got)
+	}
+}
+
+// A scenario that can't be played is told by line and key, all at once.
+func TestBadScenarios(t *testing.T) {
+	_, err := ParseScenario("s.toml", `members = 99
+rate = -1
+[[step]]
+do = "dance"
+who = ["x"]
+[[step]]
+after = -3
+expect = "joy"
+[[step]]
+do = "cut"
+`)
+	if err == nil {
+		t.Fatal("taken")
+	}
+	for _, want := range []string{"s.toml:1: members", "s.toml:2: rate", "s.toml:4: step[1].do", "s.toml:5: step[1].who",
+		"s.toml:7: step[2].after", "s.toml:8: step[2].expect", "step[3].sides"} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("not told: %s in %v", want, err)
+		}
+	}
+}
+
+// Relays do what they are told to.
+func TestRelayFaults(t *testing.T) {
+	dst, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer dst.Close()
+	relay, err := newUDPRelay(&net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)}, dst.LocalAddr().(*net.UDPAddr), 5)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer relay.close()
+	src, err := net.Dial("udp", relay.c.LocalAddr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer src.Close()
+	got := func(send int) (n, damaged int) {
+		for range send {
+			_, _ = src.Write([]byte("datagram"))
+			time.Sleep(100 * time.Microsecond)
+		}
+		buf := make([]byte, 64)
+		for {
+			_ = dst.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+			k, err := dst.Read(buf)
+			if err != nil {
+				return n, damaged
+			}
+			n++
+			if string(buf[:k]) != "datagram" {
+				damaged++
+			}
+		}
+	}
+	for what, c := range map[string]struct {
+		f           Fault
+		least, most int
+		damaged     bool
+	}{"sound": {Fault{}, 100, 100, false}, "cut": {Fault{Cut: true}, 0, 0, false},
+		"loss": {Fault{Loss: 0.5}, 30, 70, false}, "twice": {Fault{Twice: 1}, 200, 200, false},
+		"damage": {Fault{Damage: 1}, 100, 100, true}, "late": {Fault{Reorder: 0.5, DelayMS: 5}, 100, 100, false}} {
+		relay.set(c.f)
+		if n, damaged := got(100); n < c.least || n > c.most || c.damaged != (damaged == n && n > 0) {
+			t.Errorf("%s: %d came, %d damaged", what, n, damaged)
+		}
+	}
+	relay.set(Fault{Freeze: true})
+	if n, _ := got(20); n != 0 {
+		t.Errorf("%d passed a frozen link", n)
+	}
+	relay.set(Fault{})
+	if n, _ := got(0); n != 20 {
+		t.Errorf("%d came after the thaw", n)
+	}
+}
