--- a/cmd/lapislever/main_test.go
+++ b/cmd/lapislever/main_test.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"testing"
 
+	"lapislever/internal/console"
 	"lapislever/internal/standin"
 )
 
@@ -53,12 +54,18 @@
 		{args: []string{"check"}, fail: true}, // no configuration is named
 		{args: []string{"check", "--promql", unsound}, fail: true},
 		{args: []string{"check", "--promql", sound}, out: "sound"},
+		{args: []string{"check", "--promql", sound, "--fleet", unsound}, fail: true},
+		{args: []string{"check", "--promql", sound, "--fleet", "../../deploy/fleet.toml"}, out: "sound"},
+		{args: []string{"fleet"}, usage: true},
+		{args: []string{"fleet", "--door", "127.0.0.1:1"}, usage: true},
+		{args: []string{"fleet", "--door", "127.0.0.1:1", "dance"}, usage: true},
+		{args: []string{"fleet", "--door", "127.0.0.1:1", "members"}, fail: true},
 		{args: []string{"import", unsound}, fail: true},
 		{args: []string{"import", jk, "--listen", "127.0.0.1:7"}, out: `listen = "127.0.0.1:7"`},
 	} {
 		var out, errs bytes.Buffer
 		err := run(c.args, &out, &errs, func(string) string { return "" }, nil)
-		if errors.Is(err, errUsage) != c.usage || (err != nil) != (c.usage || c.fail) ||
+		if (errors.Is(err, errUsage) || errors.Is(err, console.ErrUsage)) != c.usage || (err != nil) != (c.usage || c.fail) ||
 			!strings.Contains(out.String(), c.out) {
 			t.Errorf("%q: %v, printed %q", c.args, err, out.String())
 		}
--- /dev/null
+++ b/internal/console/console_test.go
@@ -0,0 +1,64 @@
+package console
+
+import (
+	"bytes"
+	"errors"
+	"net/url"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"lapislever/internal/standin"
+)
+
+const view = `{"self":"a1","incarnation":3,"digest":"00ff","alive":2,"members":[
+ {"name":"a1","zone":"praha","addr":"127.0.0.1:7946","state":"alive","incarnation":3,"since_ms":90000},
+ {"name":"b1","zone":"brno","addr":"127.0.0.2:7946","state":"dead","incarnation":1,"since_ms":1500}],
+ "figures":{"health":1,"crash_known_within_ms":2800,"settled_within_ms":4000,"settings_differ":["b1"],
+ "conflict":"127.0.0.9:7946"}}`
+
+func TestMembers(t *testing.T) {
+	door := standin.NewHTTP(t, func(path string, _ url.Values) (int, string) {
+		if path != "/admin/fleet" {
+			return 404, "no such call"
+		}
+		return 200, view
+	})
+	var out bytes.Buffer
+	if err := (Fleet{Door: door.Addr}).Run([]string{"members"}, &out); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"a1, incarnation 3: 2 of 2 alive, digest 00ff, health 1", "a1    praha  alive  1m30s",
+		"b1    brno   dead   1.5s   1            127.0.0.2:7946", "within 2.8s", "at: [b1]", "THIS NAME: 127.0.0.9:7946"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%q is not in\n%s", want, out.String())
+		}
+	}
+	out.Reset()
+	if err := (Fleet{Door: door.Addr, JSON: true}).Run([]string{"members"}, &out); err != nil ||
+		strings.TrimSpace(out.String()) != view {
+		t.Fatalf("%v %s", err, out.String())
+	}
+	out.Reset()
+	stop := make(chan os.Signal, 1)
+	time.AfterFunc(watchEvery*3/2, func() { stop <- os.Interrupt })
+	if err := (Fleet{Door: door.Addr, Watch: true, Stop: stop}).Run([]string{"members"}, &out); err != nil ||
+		strings.Count(out.String(), "NAME ") != 2 {
+		t.Fatalf("%v %s", err, out.String())
+	}
+}
+
+func TestNoIsAnError(t *testing.T) {
+	door := standin.NewHTTP(t, func(string, url.Values) (int, string) { return 404, "no such call\n" })
+	var no *No
+	err := Fleet{Door: door.Addr}.Run([]string{"members"}, &bytes.Buffer{})
+	if !errors.As(err, &no) || no.Status != 404 || no.Text != "no such call" {
+		t.Fatalf("%v", err)
+	}
+	for _, words := range [][]string{nil, {"dance"}, {"members", "again"}} {
+		if err := (Fleet{Door: door.Addr}).Run(words, &bytes.Buffer{}); !errors.Is(err, ErrUsage) {
+			t.Errorf("%q: %v", words, err)
+		}
+	}
+}
