--- a/internal/fleetsim/fleet.go
+++ b/internal/fleetsim/fleet.go
@@ -38,6 +38,7 @@
 	Join    int // of the first so many all others know the addresses
 	Ablate  membership.Ablation
 	Drift   float64 // clocks run fast or slow by up to this share
+	Warm    bool    // all know one another from the start
 	// Slow are members that take so long over each datagram and act as late.
 	Slow      func(i int) bool
 	SlowDelay Micros
@@ -46,6 +47,7 @@
 // node is one simulated process.
 type node struct {
 	view    *membership.View
+	cfg     membership.Config
 	addr    netip.AddrPort
 	up      bool
 	stopped bool
@@ -113,9 +115,33 @@
 			return nil, err
 		}
 	}
+	if cfg.Warm {
+		return f, f.acquaint()
+	}
 	return f, nil
 }
 
+// acquaint has all members go on as if they had long known one another.
+func (f *Fleet) acquaint() error {
+	for _, n := range f.nodes {
+		s := membership.Snapshot{Birth: n.view.Self().Birth, Inc: 1, Joined: true}
+		for _, o := range f.nodes {
+			if x := o.view.Self(); o != n {
+				s.Members = append(s.Members, membership.Handover{Name: x.Name, Zone: x.Zone, Addr: x.Addr,
+					Birth: x.Birth, Inc: 1, State: membership.Alive, Stamp: 1})
+			}
+		}
+		cfg := n.cfg
+		cfg.Seed++
+		v, err := membership.Resume(cfg, s, f.clock(n, f.now))
+		if err != nil {
+			return err
+		}
+		n.view = v
+	}
+	return nil
+}
+
 func (f *Fleet) add(i int) {
 	n := &node{addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1 + byte(i>>14), byte(i >> 7 & 127),
 		1 + byte(i&127)}), 7946)}
@@ -149,10 +175,10 @@
 		join = append(join, f.nodes[min(j, len(f.nodes)-1)].addr)
 	}
 	zone := fmt.Sprintf("z%d", i%3)
-	v, err := membership.New(membership.Config{Name: Name(i), Zone: zone, Addr: n.addr,
+	n.cfg = membership.Config{Name: Name(i), Zone: zone, Addr: n.addr,
 		Birth: f.rng.Uint64() | 1, Seed: f.rng.Uint64(), Period: Period, Ablate: f.cfg.Ablate,
-		Settings: membership.Settings{Join: join, Most: 4 * max(f.cfg.Members, len(f.nodes)), Stamp: 1}},
-		f.clock(n, f.now))
+		Settings: membership.Settings{Join: join, Most: 4 * max(f.cfg.Members, len(f.nodes)), Stamp: 1}}
+	v, err := membership.New(n.cfg, f.clock(n, f.now))
 	if err != nil {
 		return err
 	}
