--- a/balance/balance.go
+++ b/balance/balance.go
@@ -708,7 +708,8 @@
 	slices.Sort(waits)
 	wait := waits[min(len(waits)-1, int(admitQuantile*floor*float64(len(waits))))]
 	share := admitShare + admitAlone*min(1, admitPeers/float64(max(1, b.s.Peers)))
-	share *= 1 - min(vainMost, vainCut*b.vain)               // what was sent in vain is sent again, and takes room twice
+	// What was sent in vain is sent again, and takes room twice.
+	share *= 1 - min(vainMost, vainCut*b.vain)
 	tail := math.Log(float64(len(q.parts)) / (1 + b.beside)) // by which the last needed part is later
 	if floor < 1-2*tolerance {
 		tail = min(tail, -math.Log(1-floor))
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -277,7 +277,8 @@
 func (f *Fleet) Configure(fresh *Config) (kept []string) {
 	was, is := &f.cfg.Fleet, &fresh.Fleet
 	for name, differs := range map[string]bool{"fleet.name": was.Name != is.Name,
-		"fleet.zone": was.Zone != is.Zone, "fleet.listen": was.Listen != is.Listen, "fleet.detect": was.Detect != is.Detect} {
+		"fleet.zone": was.Zone != is.Zone, "fleet.listen": was.Listen != is.Listen,
+		"fleet.detect": was.Detect != is.Detect} {
 		if differs {
 			kept = append(kept, name)
 		}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -47,7 +47,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if len(c.view.Join) != 1 || c.view.Route["b1"].String() != "127.1.0.2:7946" || c.Period() != 200*time.Millisecond ||
+	if len(c.view.Join) != 1 || c.view.Route["b1"].String() != "127.1.0.2:7946" ||
+		c.Period() != 200*time.Millisecond ||
 		c.Size() != 2 || c.Place() != 0 {
 		t.Fatalf("%+v", c)
 	}
@@ -135,7 +136,8 @@
 		{"unsealed", first, open, errUnsealed}, {"long", plain, append(bytes.Clone(sealed), 'x'), errLong},
 		{"empty", first, nil, errCut}, {"cut", first, sealed[:20], errCut}, {"cut plain", plain, open[:9], errCut},
 		{"a bit", first, flip(sealed, 100), errDamaged}, {"nonce", first, flip(sealed, 5), errDamaged},
-		{"the end is gone", first, sealed[:len(sealed)-1], errDamaged}, {"plain bit", plain, flip(open, 40), errDamaged},
+		{"the end is gone", first, sealed[:len(sealed)-1], errDamaged},
+		{"plain bit", plain, flip(open, 40), errDamaged},
 		{"version", first, append([]byte{0xF7}, sealed[1:]...), errVersion},
 		{"the module's own message", first, []byte("\x31abcde"), errForeign},
 	} {
--- a/internal/fleetsim/measure.go
+++ b/internal/fleetsim/measure.go
@@ -148,7 +148,8 @@
 		note(&heal, 400, All)
 	}
 	return Row{What: "mass start, halves, heal", Members: base.Members, Loss: base.Link.Loss, Seeds: seeds,
-		Values: []Value{{"start", "periods", quantile(start, 0.5)}, {"one half agrees", "periods", quantile(cut, 0.5)},
+		Values: []Value{{"start", "periods", quantile(start, 0.5)},
+			{"one half agrees", "periods", quantile(cut, 0.5)},
 			{"one view median", "periods", quantile(heal, 0.5)}, {"most", "periods", quantile(heal, 1)},
 			{"failed", "", float64(failed)}}}, nil
 }
--- a/internal/membership/exhaustive_test.go
+++ b/internal/membership/exhaustive_test.go
@@ -54,15 +54,13 @@
 
 // world is one state of the fleet that is checked.
 type world struct {
-	now                                           Micros
-	views                                         []*View // nil: not running
-	flying                                        []flight
-	old                                           []flight // kept for a replay
-	births                                        map[uint64]int
-	gone                                          map[uint64]bool // processes that ended
-	losses, crashes, starts, replays, swaps, left int
-	dead                                          int // periods since the crash at which everybody forgets it; for the replay
-	path                                          []string
+	now                                  Micros
+	views                                []*View // nil: not running
+	flying                               []flight
+	births                               map[uint64]int
+	gone                                 map[uint64]bool // processes that ended
+	losses, crashes, starts, swaps, left int
+	path                                 []string
 }
 
 func (w *world) clone() *world {
@@ -73,7 +71,7 @@
 			c.views[i] = v.clone()
 		}
 	}
-	c.flying, c.old = slices.Clone(w.flying), slices.Clone(w.old)
+	c.flying = slices.Clone(w.flying)
 	c.births, c.gone = maps.Clone(w.births), maps.Clone(w.gone)
 	c.path = slices.Clip(w.path)
 	return &c
@@ -138,7 +136,7 @@
 		}
 		return 0
 	}
-	put(uint64(w.losses), uint64(w.crashes), uint64(w.starts), uint64(w.replays), uint64(w.swaps))
+	put(uint64(w.losses), uint64(w.crashes), uint64(w.starts), uint64(w.swaps))
 	for _, v := range w.views {
 		if v == nil {
 			put(1<<63 + 1)
@@ -206,8 +204,9 @@
 		}
 		digests[v.digest] = shownAs(v)
 		for _, m := range v.list {
-			if w.gone[m.birth] && m.state == Alive && w.dead > 0 {
-				return fmt.Sprintf("%s was forgotten and is back at %s", m.name, v.self.name)
+			if b := before.views[i]; w.gone[m.birth] && m.state == Alive && b != nil && b.births[m.birth] != nil &&
+				b.births[m.birth].state == Dead {
+				return fmt.Sprintf("%s is over, was dead at %s, and is back", m.name, v.self.name)
 			}
 			if m.state == Dead && w.crashes == 0 {
 				return fmt.Sprintf("%s holds %s dead, which runs and is in reach", v.self.name, m.name)
@@ -270,10 +269,10 @@
 
 // bounds of one search.
 type search struct {
-	slots, losses, crashes, starts, replays, swaps int
-	anyOrder                                       bool // of delivery
-	states                                         int
-	equal                                          bool
+	slots, losses, crashes, starts, swaps int
+	anyOrder                              bool // of delivery
+	states                                int
+	equal                                 bool
 }
 
 // settled is three members that see one another.
@@ -390,7 +389,8 @@
 		search
 	}{
 		{"losses", search{slots: bound(18, 45), losses: bound(2, 4), states: bound(25_000, 3_000_000)}},
-		{"crash and restart", search{slots: bound(30, 60), crashes: 1, starts: 1, states: bound(12_000, 1_000_000)}},
+		{"crash and restart", search{slots: bound(30, 60), crashes: 1, starts: 1,
+			states: bound(12_000, 1_000_000)}},
 		{"crash, restart, loss", search{slots: bound(12, 45), crashes: 1, starts: 1, losses: 1,
 			states: bound(20_000, 3_000_000)}},
 		{"every order", search{slots: bound(2, 4), anyOrder: true, losses: 1, crashes: 1, starts: 1,
