--- a/balance/guards_test.go
+++ b/balance/guards_test.go
@@ -285,8 +285,8 @@
 }
 
 // What is sent in vain is sent again: while much is, fewer queries are let in, and as it ends as many as
-// before. Else the repeats of all fill the queues of those that still serve (join+mass, seed 789946599629: 12%
-// of the parts in vain, 47% of the queries refused, and less served than by random choice).
+// before. Else the repeats of all fill the queues of those that still serve (join+mass, seed 789946599629:
+// 12% of the parts in vain, 47% of the queries refused, and less served than by random choice).
 func TestMuchInVainLetsFewerIn(t *testing.T) {
 	admitted := func(k *bench) (n int) {
 		for range 60 {
--- a/cmd/lapislever/main_test.go
+++ b/cmd/lapislever/main_test.go
@@ -65,7 +65,8 @@
 	} {
 		var out, errs bytes.Buffer
 		err := run(c.args, &out, &errs, func(string) string { return "" }, nil)
-		if (errors.Is(err, errUsage) || errors.Is(err, console.ErrUsage)) != c.usage || (err != nil) != (c.usage || c.fail) ||
+		if (errors.Is(err, errUsage) || errors.Is(err, console.ErrUsage)) != c.usage || (err != nil) != (c.usage ||
+			c.fail) ||
 			!strings.Contains(out.String(), c.out) {
 			t.Errorf("%q: %v, printed %q", c.args, err, out.String())
 		}
--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -30,7 +30,8 @@
 		t.Fatal(err)
 	}
 	for _, want := range []string{"a1, incarnation 3: 2 of 2 alive, digest 00ff, health 1",
-		"a1    praha  alive  1m30s", "b1    brno   dead   1.5s   1            127.0.0.2:7946", "within 2.8s", "at: [b1]",
+		"a1    praha  alive  1m30s", "b1    brno   dead   1.5s   1            127.0.0.2:7946", "within 2.8s",
+		"at: [b1]",
 		"THIS NAME: 127.0.0.9:7946"} {
 		if !strings.Contains(out.String(), want) {
 			t.Errorf("%q is not in\n%s", want, out.String())
--- a/internal/membership/view_test.go
+++ b/internal/membership/view_test.go
@@ -23,7 +23,10 @@
 }
 
 func newLab(t testing.TB) *lab {
-	return &lab{t: t, now: 1_000_000, views: map[netip.AddrPort]*View{}, cut: func(_, _ *View) bool { return false },
+	return &lab{t: t, now: 1_000_000, views: map[netip.AddrPort]*View{}, cut: func(_,
+		_ *View) bool {
+		return false
+	},
 		tap: func(*View, Send) {}}
 }
 
@@ -110,7 +113,8 @@
 
 func (l *lab) agree() bool {
 	for _, v := range l.order {
-		if alive, trusted := v.alive(); v.digest != l.order[0].digest || alive != len(l.order) || trusted != alive ||
+		if alive, trusted := v.alive(); v.digest != l.order[0].digest || alive != len(l.order) ||
+			trusted != alive ||
 			v.joining {
 			return false
 		}
@@ -148,8 +152,8 @@
 	}
 }
 
-// A new process of a member's name goes behind its predecessor, whatever the members remember of that one, and
-// although it starts from nothing each time.
+// A new process of a member's name goes behind its predecessor, whatever the members remember of that one,
+// and although it starts from nothing each time.
 func TestARestartGoesBehindItsPredecessor(t *testing.T) {
 	l := newLab(t)
 	a := l.add("a", 1)
--- a/internal/rig/check.go
+++ b/internal/rig/check.go
@@ -71,7 +71,8 @@
 }
 
 // checkView holds one look at one member's view against what must be.
-func checkView(e Event, up map[string]bool, incs map[[2]string]uint32, noDeaths bool, fault func(string, ...any)) {
+func checkView(e Event, up map[string]bool, incs map[[2]string]uint32, noDeaths bool, fault func(string,
+	...any)) {
 	for name, state := range e.Members {
 		key := [2]string{e.Who, name}
 		if e.Incs[name] < incs[key] {
--- a/internal/rig/process_test.go
+++ b/internal/rig/process_test.go
@@ -182,7 +182,8 @@
 			}
 		}
 		p, err := Start(program, []string{"serve", "--" + kind, front, "--fleet", file},
-			[]string{"RELAY_CONFIG=", "RELAY_OPERATOR=" + r.host(1+i, portDoor)}, filepath.Join(dir, fmt.Sprint("log", i)))
+			[]string{"RELAY_CONFIG=", "RELAY_OPERATOR=" + r.host(1+i, portDoor)}, filepath.Join(dir,
+				fmt.Sprint("log", i)))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -200,8 +201,9 @@
 		}
 	}
 	// Without --fleet there is no socket and no call.
-	p, err := Start(program, []string{"serve", "--promql", filepath.Join(dir, "front0")}, []string{"RELAY_CONFIG=",
-		"RELAY_OPERATOR=" + r.host(9, portDoor)}, filepath.Join(dir, "log9"))
+	p, err := Start(program, []string{"serve", "--promql", filepath.Join(dir, "front0")},
+		[]string{"RELAY_CONFIG=",
+			"RELAY_OPERATOR=" + r.host(9, portDoor)}, filepath.Join(dir, "log9"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -252,11 +254,13 @@
 	}
 	up := Event{Kind: KindProcess, Who: "m01", What: "start"}
 	for what, events := range map[string][]Event{
-		"answered 2 times":      {{Kind: KindQuery, Query: "q"}, {Kind: KindAnswer, Query: "q"}, {Kind: KindAnswer, Query: "q"}},
-		"never answered":        {{Kind: KindQuery, Query: "q"}},
-		"which ran":             {{Kind: KindQuery, Query: "q"}, {Kind: KindAnswer, Query: "q", What: "cut off"}},
-		"which nobody asked":    {{Kind: KindPart, Who: "n0", Query: "q.1"}},
-		"another's":             {{Kind: KindQuery, Query: "q"}, {Kind: KindAnswer, Query: "q", What: "another's: x"}},
+		"answered 2 times": {{Kind: KindQuery, Query: "q"}, {Kind: KindAnswer, Query: "q"},
+			{Kind: KindAnswer, Query: "q"}},
+		"never answered":     {{Kind: KindQuery, Query: "q"}},
+		"which ran":          {{Kind: KindQuery, Query: "q"}, {Kind: KindAnswer, Query: "q", What: "cut off"}},
+		"which nobody asked": {{Kind: KindPart, Who: "n0", Query: "q.1"}},
+		"another's": {{Kind: KindQuery, Query: "q"}, {Kind: KindAnswer, Query: "q",
+			What: "another's: x"}},
 		"went back from 2 to 1": {up, view("m00", "a", "alive", 2), view("m00", "b", "alive", 1)},
 		"stands for":            {up, view("m00", "a", "alive", 1), view("m02", "a", "left", 1)},
 		"dead, which runs":      {up, view("m00", "a", "dead", 1)},
@@ -287,7 +291,8 @@
 	if err == nil {
 		t.Fatal("taken")
 	}
-	for _, want := range []string{"s.toml:1: members", "s.toml:2: rate", "s.toml:4: step[1].do", "s.toml:5: step[1].who",
+	for _, want := range []string{"s.toml:1: members", "s.toml:2: rate", "s.toml:4: step[1].do",
+		"s.toml:5: step[1].who",
 		"s.toml:7: step[2].after", "s.toml:8: step[2].expect", "step[3].sides"} {
 		if !strings.Contains(err.Error(), want) {
 			t.Errorf("not told: %s in %v", want, err)
--- a/internal/rig/scenario.go
+++ b/internal/rig/scenario.go
@@ -40,7 +40,8 @@
 
 // What steps may do and expect.
 var (
-	doings  = []string{"kill", "start", "stop", "cont", "term", "restart", "upgrade", "add", "hup", "cut", "heal", "link"}
+	doings = []string{"kill", "start", "stop", "cont", "term", "restart", "upgrade", "add", "hup", "cut",
+		"heal", "link"}
 	expects = []string{"settled", "dead", "left", "alive"}
 )
 
@@ -284,7 +285,8 @@
 	took := float64(time.Since(begun)) / float64(r.cfg.Period)
 	what := fmt.Sprintf("%d %s", i, st.Expect)
 	res.Took[what] = took
-	r.History.Note(Event{Kind: KindStep, What: fmt.Sprintf("expected %s %v: %v after %.1f", st.Expect, st.Who, ok,
+	r.History.Note(Event{Kind: KindStep, What: fmt.Sprintf("expected %s %v: %v after %.1f", st.Expect, st.Who,
+		ok,
 		took)})
 	if !ok {
 		return fmt.Errorf("step %d: %s %v not within %.1f periods", i, st.Expect, st.Who, bound)
