--- a/internal/rig/process_test.go
+++ b/internal/rig/process_test.go
@@ -173,8 +173,8 @@
 	for i, kind := range fronts {
 		front := filepath.Join(dir, fmt.Sprint("front", i))
 		file := filepath.Join(dir, fmt.Sprint("fleet", i))
-		fleet := fmt.Sprintf("[fleet]\nname = \"f%d\"\nlisten = %q\njoin = [%q]\nroster = [\"f0\", \"f1\", \"f2\"]\n", i,
-			r.host(1+i, portFleet), r.host(1, portFleet))
+		form := "[fleet]\nname = \"f%d\"\nlisten = %q\njoin = [%q]\nroster = [\"f0\", \"f1\", \"f2\"]\n"
+		fleet := fmt.Sprintf(form, i, r.host(1+i, portFleet), r.host(1, portFleet))
 		for path, text := range map[string]string{front: fmt.Sprintf(files[kind], r.host(1+i, portFront)),
 			file: fleet} {
 			if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
