Let an operator's word on a data node hold for the whole fleet

Need: to take a node out of service staff had to call every coordinator, and a restart from nothing forgot it.

internal/verdict keeps one last-writer-wins register for each thing, stamped by a hybrid logical clock, with ages in place of times for its end, and tells other members: directly until each has carried it out, and by comparing salted sums, stamps and entries for what that has missed. The sum that each datagram of the fleet bears covers what the core has carried out, so who is named as holding it sends nothing more there. core.Bar lays it beside calls that concern one coordinator; a start is told before it serves; an upgrade hands it over.

--- a/cmd/lapislever/main.go
+++ b/cmd/lapislever/main.go
@@ -34,7 +34,7 @@
   serve     run one coordinator
   check     validate the configuration and stop
   import    make a file for --promql or --translate of a mod_jk worker file or Apache's balancers
-  fleet     members, at a coordinator's door
+  fleet     members | verdicts | cordon ID | uncordon ID, at a coordinator's door
   admission show | ban PREFIX | pin PREFIX | lift PREFIX, at a coordinator's door
   version   print the version
 
@@ -95,6 +95,10 @@
 		flags.StringVar(&members.Door, "door", "", "address of the operators' door")
 		flags.BoolVar(&members.JSON, "json", false, "print the door's own words")
 		flags.BoolVar(&members.Watch, "watch", false, "again every second")
+		flags.DurationVar(&members.Span, "for", 0, "how long a node is to be out; without: until it is taken back")
+		flags.DurationVar(&members.Wait, "wait", 0, "wait so long for all members that are alive")
+		flags.StringVar(&members.By, "by", env("USER"), "who says so")
+		flags.StringVar(&members.Why, "reason", "", "why")
 		files = -1
 	case "version":
 	case "help", "-h", "--help":
@@ -303,7 +307,7 @@
 	default:
 		return fmt.Errorf("%w: show, or ban, pin or lift with a prefix", errUsage)
 	}
-	reply, err := console.Call(d.addr, method, path, body, 0)
+	reply, err := console.Call(d.addr, method, path, body, nil, 0)
 	if err != nil {
 		return err
 	}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -8,6 +8,7 @@
 	"errors"
 	"log/slog"
 	"net/netip"
+	"net/url"
 	"strings"
 	"time"
 
@@ -29,6 +30,7 @@
 var (
 	ErrUnknown = errors.New("no data node of that id is listed")
 	ErrLate    = errors.New("not done in time, and may still be: call again")
+	ErrForm    = errors.New("the id, who says so or why is too long")
 )
 
 // Figures are a process's counts since its start, by their names on the wire.
@@ -61,7 +63,22 @@
 }
 
 // Fleeted is a State with a view of the fleet, to be shown as JSON; nil where there is none.
-type Fleeted interface{ Fleet() any }
+type Fleeted interface {
+	Fleet() any
+	Verdicts() any
+	// Say gives a verdict for the whole fleet, and returns what is to be shown of it, and whether all that are
+	// alive hold it. It gives up after the time given, or the call's own wait if that is longer.
+	Say(c FleetCall, within time.Duration) (shown any, all bool, err error)
+}
+
+// FleetCall is a call that puts a data node out or back for the whole fleet.
+type FleetCall struct {
+	ID         string
+	Out        bool
+	By, Reason string
+	Span       time.Duration // 0: until it is taken back
+	Wait       time.Duration // for all who are alive
+}
 
 // Gated is a State with a gate, or nil where there is none.
 type Gated interface{ Gate() Gate }
@@ -135,21 +152,91 @@
 // fleet takes a call about the fleet. It returns false where there is none, or no such call.
 func (d *Door) fleet(r *lnet.Request, x *lnet.Exchange, say func(int, string)) bool {
 	s, ok := d.state.(Fleeted)
-	if !ok || r.Path != "/admin/fleet" {
+	if !ok || s.Fleet() == nil {
 		return false
 	}
-	view := s.Fleet()
-	switch {
-	case view == nil:
-		return false
-	case r.Method != "GET":
-		only(x, "GET")
+	method := "GET"
+	var act func()
+	switch r.Path {
+	case "/admin/fleet":
+		act = func() { show(x, say, s.Fleet()) }
+	case "/admin/verdicts":
+		act = func() { show(x, say, s.Verdicts()) }
+	case "/admin/fleet/cordon", "/admin/fleet/uncordon":
+		method = "POST"
+		act = func() {
+			c, err := fleetCall(r)
+			if err != nil {
+				say(400, err.Error())
+				return
+			}
+			go d.fleetCordon(s, c, x, say)
+		}
 	default:
-		show(x, say, view)
+		return false
+	}
+	if r.Method != method {
+		only(x, method)
+	} else {
+		act()
 	}
 	return true
 }
 
+// mostWait bounds how long a call may wait for other members.
+const mostWait = 30 * time.Second
+
+// fleetCall reads a call: ID [TIME], and ?wait=TIME.
+func fleetCall(r *lnet.Request) (c FleetCall, err error) {
+	c.Out = r.Path == "/admin/fleet/cordon"
+	c.By, c.Reason = r.Header.Get("X-By"), r.Header.Get("X-Reason")
+	fields := strings.Fields(string(r.Body))
+	if len(fields) == 0 || len(fields) > 2 || len(fields) == 2 && !c.Out {
+		return c, errors.New("the body has to be one data node's id and, to put it out, a time such as 10m")
+	}
+	c.ID = fields[0]
+	if len(fields) == 2 {
+		if c.Span, err = time.ParseDuration(fields[1]); err != nil || c.Span <= 0 || c.Span > 365*24*time.Hour {
+			return c, errors.New("the time has to be one such as 10m, of a year at most")
+		}
+	}
+	query, err := url.ParseQuery(r.Query)
+	if err != nil {
+		return c, errors.New("the query can't be read")
+	}
+	if text := query.Get("wait"); text != "" {
+		if c.Wait, err = time.ParseDuration(text); err != nil || c.Wait < 0 || c.Wait > mostWait {
+			return c, errors.New("wait has to be a time such as 2s, of 30s at most")
+		}
+	}
+	return c, nil
+}
+
+// fleetCordon carries out one call for the whole fleet; it waits, so it has a goroutine of its own.
+func (d *Door) fleetCordon(s Fleeted, c FleetCall, x *lnet.Exchange, say func(status int, text string)) {
+	shown, all, err := s.Say(c, answerIn)
+	d.log.Info("operator's call for the fleet", "node", c.ID, "out", c.Out, "for", c.Span, "err", err)
+	switch {
+	case errors.Is(err, ErrUnknown):
+		say(404, err.Error())
+	case errors.Is(err, ErrForm):
+		say(400, err.Error())
+	case err != nil:
+		say(503, err.Error())
+	default:
+		b, err := json.Marshal(shown)
+		if err != nil {
+			say(500, err.Error())
+			return
+		}
+		status := 200
+		if c.Wait > 0 && !all {
+			status = 202
+		}
+		x.Reply(lnet.Response{Status: status, Type: "application/json", Body: b, Close: true})
+	}
+}
+
 // Door is an open door.
 type Door struct {
 	server *lnet.Server
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -24,13 +24,13 @@
 func (n *No) Error() string { return fmt.Sprintf("%d: %s", n.Status, n.Text) }
 
 // Call makes one call at a door and returns the body of its answer. An answer that is no yes is a *No.
-func Call(door, method, path, body string, extra time.Duration) ([]byte, error) {
+func Call(door, method, path, body string, header [][2]string, extra time.Duration) ([]byte, error) {
 	c, err := lnet.Dial(door, callLimit, maxReply)
 	if err != nil {
 		return nil, err
 	}
 	defer c.Close()
-	reply, err := c.Do(method, path, door, nil, []byte(body), time.Now().Add(callLimit+extra))
+	reply, err := c.Do(method, path, door, header, []byte(body), time.Now().Add(callLimit+extra))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/console/fleet.go
+++ b/internal/console/fleet.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"text/tabwriter"
 	"time"
 )
@@ -13,6 +14,9 @@
 // ErrUsage marks words that make no call.
 var ErrUsage = errors.New("usage")
 
+// calls are all that there are.
+const calls = "members, verdicts, cordon ID, uncordon ID"
+
 // watchEvery is the time between two looks of --watch.
 const watchEvery = time.Second
 
@@ -20,6 +24,10 @@
 type Fleet struct {
 	Door  string
 	JSON  bool             // the door's own words
+	Span  time.Duration    // for how long a node is to be out; 0: until it is taken back
+	Wait  time.Duration    // for all members that are alive
+	By    string           // who says so,
+	Why   string           // and why
 	Watch bool             // again and again, until Stop
 	Stop  <-chan os.Signal // ends a watch; nil: nothing does
 }
@@ -49,13 +57,26 @@
 	switch {
 	case f.Door == "":
 		return fmt.Errorf("%w: --door is missing", ErrUsage)
-	case len(words) != 1:
-		return fmt.Errorf("%w: one of: members", ErrUsage)
-	case words[0] != "members":
-		return fmt.Errorf("%w: %q is no call: members", ErrUsage, words[0])
+	case len(words) == 0:
+		return fmt.Errorf("%w: one of: %s", ErrUsage, calls)
+	}
+	var show func(io.Writer) error
+	switch words[0] {
+	case "members":
+		show = f.members
+	case "verdicts":
+		show = f.verdicts
+	case "cordon", "uncordon":
+		if len(words) != 2 {
+			return fmt.Errorf("%w: %s takes one data node's id", ErrUsage, words[0])
+		}
+		return f.cordon(words[0], words[1], out)
+	}
+	if show == nil || len(words) != 1 {
+		return fmt.Errorf("%w: %q is no call: %s", ErrUsage, strings.Join(words, " "), calls)
 	}
 	for {
-		err := f.members(out)
+		err := show(out)
 		if !f.Watch {
 			return err
 		}
@@ -72,7 +93,7 @@
 }
 
 func (f Fleet) members(out io.Writer) error {
-	body, err := Call(f.Door, "GET", "/admin/fleet", "", 0)
+	body, err := Call(f.Door, "GET", "/admin/fleet", "", nil, 0)
 	if err != nil {
 		return err
 	}
@@ -105,6 +126,82 @@
 	return nil
 }
 
+// verdictView is what the door says of one verdict.
+type verdictView struct {
+	Kind, What, By, Reason string
+	At                     int64 `json:"at_ms"`
+	Ends                   int64 `json:"ends_ms"`
+	Held, Missing          []string
+}
+
+func (f Fleet) verdicts(out io.Writer) error {
+	body, err := Call(f.Door, "GET", "/admin/verdicts", "", nil, 0)
+	if err != nil {
+		return err
+	}
+	if f.JSON {
+		_, err = fmt.Fprintf(out, "%s\n", body)
+		return err
+	}
+	var v struct {
+		Verdicts []verdictView
+		Told     bool
+	}
+	if err := json.Unmarshal(body, &v); err != nil {
+		return fmt.Errorf("the door's answer: %w", err)
+	}
+	if !v.Told {
+		fmt.Fprintln(out, "THIS PROCESS HAS NOT BEEN TOLD WHAT THE FLEET HOLDS")
+	}
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "VERDICT\tON\tFOR\tENDS IN\tBY\tREASON\tMISSING AT")
+	now := time.Now().UnixMilli()
+	for _, x := range v.Verdicts {
+		ends := "-"
+		if x.Ends > 0 {
+			ends = span(x.Ends - now)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", x.Kind, x.What, span(now-x.At), ends, dash(x.By),
+			dash(x.Reason), dash(strings.Join(x.Missing, " ")))
+	}
+	return w.Flush()
+}
+
+func dash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
+
+// cordon puts a data node out or back at every member. That some are missing is no error: the door says who.
+func (f Fleet) cordon(call, id string, out io.Writer) error {
+	path, body := "/admin/fleet/"+call, id
+	if f.Wait > 0 {
+		path += "?wait=" + f.Wait.String()
+	}
+	if f.Span > 0 {
+		body += " " + f.Span.String()
+	}
+	reply, err := Call(f.Door, "POST", path, body, [][2]string{{"X-By", f.By}, {"X-Reason", f.Why}}, f.Wait)
+	if err != nil {
+		return err
+	}
+	if f.JSON {
+		_, err = fmt.Fprintf(out, "%s\n", reply)
+		return err
+	}
+	var v verdictView
+	if err := json.Unmarshal(reply, &v); err != nil {
+		return fmt.Errorf("the door's answer: %w", err)
+	}
+	fmt.Fprintf(out, "holds at: %s\n", strings.Join(v.Held, " "))
+	if len(v.Missing) > 0 {
+		fmt.Fprintf(out, "not known to hold yet at: %s\n", strings.Join(v.Missing, " "))
+	}
+	return nil
+}
+
 // span words milliseconds for people.
 func span(ms int64) string {
 	d := time.Duration(ms) * time.Millisecond
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -240,6 +240,7 @@
 type Cordon struct {
 	Server balance.ReplicaID
 	Out    bool
+	Fleet  bool           // by the whole fleet, not by a call here: both have to say back
 	At     balance.Micros // when it was called, in Unix microseconds; 0: now
 	Sure   bool           // another process of this coordinator knows the server: no question
 	Done   chan<- bool    // hears once whether the server is known; it has room. Or nil
@@ -249,6 +250,7 @@
 // over.
 type Inherited struct {
 	Out    map[balance.ReplicaID]balance.Micros // and when
+	Barred map[balance.ReplicaID]balance.Micros // the same by the whole fleet
 	Since  map[balance.ReplicaID]balance.Micros
 	Memory balance.Memory
 }
@@ -308,7 +310,8 @@
 	until    balance.Micros
 	sawList  bool
 	listed   map[balance.ReplicaID]balance.Replica // as discovery tells
-	out      map[balance.ReplicaID]balance.Micros  // put out by operators, and when
+	out      map[balance.ReplicaID]balance.Micros  // put out by operators here, and when
+	barred   map[balance.ReplicaID]balance.Micros  // and by the whole fleet
 	since    map[balance.ReplicaID]balance.Micros  // put back then: started no earlier
 	countAt  balance.Micros                        // when the list's figures are next due
 	idle     chan struct{}                         // closed once nothing is open while stopping
@@ -330,7 +333,8 @@
 		quit: make(chan struct{}), idle: make(chan struct{}),
 		epoch: now, base: now.UnixMicro(), queries: map[uint32]*Query{}, parts: map[uint32]*part{},
 		names: map[string]*Query{}, numbers: map[float32]bool{}, listed: map[balance.ReplicaID]balance.Replica{},
-		out: map[balance.ReplicaID]balance.Micros{}, since: map[balance.ReplicaID]balance.Micros{},
+		out: map[balance.ReplicaID]balance.Micros{}, barred: map[balance.ReplicaID]balance.Micros{},
+		since: map[balance.ReplicaID]balance.Micros{},
 	}, nil
 }
 
@@ -400,6 +404,38 @@
 	return ask(c, Cordon{Server: id, Out: out, Done: done}, done, within)
 }
 
+// knows asks whether a server is listed.
+type knows struct {
+	server balance.ReplicaID
+	done   chan<- bool
+}
+
+func (knows) isEvent() {}
+
+// Knows tells that a server is listed; false too where the core does not say so in time.
+func (c *Core) Knows(id balance.ReplicaID, within time.Duration) bool {
+	done := make(chan bool, 1)
+	known, _ := ask(c, knows{server: id, done: done}, done, within)
+	return known
+}
+
+// Bar puts a server out or back for the whole fleet, and returns once that holds here, or false once the core
+// has ended. The server need not be listed: it may be yet.
+func (c *Core) Bar(id balance.ReplicaID, out bool) bool {
+	for {
+		done := make(chan bool, 1)
+		if _, inTime := ask(c, Cordon{Server: id, Out: out, Fleet: true, Sure: true, Done: done}, done,
+			time.Second); inTime {
+			return true
+		}
+		select {
+		case <-c.done:
+			return false
+		default: // it is busy: once more, which does no more than once
+		}
+	}
+}
+
 // Cordoned is what operators have said so far. What was queued before has then been taken in.
 func (c *Core) Cordoned(within time.Duration) (Inherited, bool) {
 	done := make(chan Inherited, 1)
@@ -513,6 +549,7 @@
 		c.cordon(e)
 	case Inherited: // it comes before any list
 		maps.Copy(c.out, e.Out)
+		maps.Copy(c.barred, e.Barred)
 		maps.Copy(c.since, e.Since)
 		for id, at := range e.Memory.Starts { // some of them the list may not tell yet
 			c.since[id] = max(c.since[id], at)
@@ -522,7 +559,11 @@
 		c.cfg.Settings = e.Settings
 		c.events = append(c.events, balance.Event{Kind: balance.Changed, Settings: &e.Settings})
 	case cordons:
-		e.done <- Inherited{Out: maps.Clone(c.out), Since: maps.Clone(c.since), Memory: c.module.Memory()}
+		e.done <- Inherited{Out: maps.Clone(c.out), Barred: maps.Clone(c.barred), Since: maps.Clone(c.since),
+			Memory: c.module.Memory()}
+	case knows:
+		_, ok := c.listed[e.server]
+		e.done <- ok
 	case ProbeDone:
 		c.events = append(c.events, balance.Event{Kind: balance.ProbeResult, Replica: e.Replica,
 			Outcome: e.Outcome, Elapsed: e.Elapsed.Microseconds(), Report: e.Report})
@@ -564,7 +605,7 @@
 // overlay is what the module is told of a listed server.
 func (c *Core) overlay(r balance.Replica) balance.Replica {
 	r.Started = max(r.Started, c.since[r.ID])
-	if _, out := c.out[r.ID]; out && r.State == balance.Ready {
+	if c.isOut(r.ID) && r.State == balance.Ready {
 		r.State = balance.Draining
 	}
 	return r
@@ -581,19 +622,30 @@
 	c.events = append(c.events, balance.Event{Kind: balance.List, Mode: mode, Replicas: replicas})
 }
 
+// isOut tells that a server is out by a call here or by the whole fleet.
+func (c *Core) isOut(id balance.ReplicaID) bool {
+	_, out := c.out[id]
+	_, barred := c.barred[id]
+	return out || barred
+}
+
 // cordon puts a server out or back. Called twice it does no more than once.
 func (c *Core) cordon(e Cordon) {
 	r, listed := c.listed[e.Server]
-	since, out := c.out[e.Server]
+	by := c.out
+	if e.Fleet {
+		by = c.barred
+	}
+	since, out := by[e.Server]
 	known := listed || out || e.Sure
 	if known && e.Out != out {
 		if e.At == 0 {
 			e.At = c.clock(time.Now())
 		}
 		if e.Out {
-			c.out[e.Server] = e.At
+			by[e.Server] = e.At
 		} else {
-			delete(c.out, e.Server)
+			delete(by, e.Server)
 			if r.Started <= since { // else the list has told of the start, and knows better when that was
 				c.since[e.Server] = e.At
 			}
@@ -615,8 +667,8 @@
 	c.countAt = c.now + countSpan.Microseconds()
 	c.cfg.Counts.Listed.Store(int64(len(c.listed)))
 	avoided := c.module.Avoided()
-	for id := range c.out {
-		if _, ok := c.listed[id]; ok {
+	for id := range c.listed {
+		if c.isOut(id) {
 			avoided++
 		}
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"lapislever/internal/membership"
+	"lapislever/internal/verdict"
 )
 
 const (
@@ -31,7 +32,8 @@
 
 // What a message of the layer above is for.
 const (
-	toModule byte = 1 // between the decision modules
+	toModule  byte = 1 // between the decision modules
+	toVerdict byte = 2 // between the tables of verdicts
 )
 
 // Status is what the door shows: the form of GET /admin/fleet.
@@ -98,7 +100,7 @@
 	heard  chan membership.Heard
 	closed chan struct{}
 	once   sync.Once
-	drops  [8]atomic.Int64 // by openErrors
+	drops  [9]atomic.Int64 // by openErrors
 	told   atomic.Int64    // messages of the module sent
 	toldUs atomic.Int64    // and received
 
@@ -106,6 +108,11 @@
 	running *run       // nil: another process of this member has the socket
 	kept    *membership.View
 
+	keep     keeper // the view's owner's
+	carry    Apply
+	toApply  chan verdict.Change
+	verdicts atomic.Pointer[Verdicts]
+
 	joined  chan struct{} // closed once this member is one
 	refused chan error    // hears once if this process must not serve
 }
@@ -127,6 +134,10 @@
 		closed: make(chan struct{}), joined: make(chan struct{}), refused: make(chan error, 1)}
 	f.keys.Store(cfg.keys)
 	f.alive.Store(&[]string{})
+	f.toApply = make(chan verdict.Change, mostPending)
+	f.verdicts.Store(&Verdicts{Verdicts: []VerdictStatus{}})
+	f.keep.Spreader = verdict.NewSpreader(verdict.NewTable(cfg.Fleet.Name), f.viewConfig().Seed,
+		membership.MostApp)
 	f.show.Store(&Status{Self: cfg.Fleet.Name, Members: []MemberStatus{}})
 	if given == nil {
 		// Without SO_REUSEPORT: a second process of this address is an error, at once.
@@ -154,17 +165,23 @@
 }
 
 // Begin starts to take part: as a new process, or from where another process of this member has stopped.
-func (f *Fleet) Begin(from *membership.Snapshot) error {
+// carry carries verdicts out here; nil: nothing does.
+func (f *Fleet) Begin(from *Handover, carry Apply) error {
 	var v *membership.View
 	var err error
+	f.carry = carry
 	if from != nil {
-		v, err = membership.Resume(f.viewConfig(), *from, f.now())
+		for _, x := range from.Verdicts {
+			f.keep.Merge(f.now(), x.Verdict, x.Age)
+		}
+		v, err = membership.Resume(f.viewConfig(), from.View, f.now())
 	} else {
 		v, err = membership.New(f.viewConfig(), f.now())
 	}
 	if err != nil {
 		return err
 	}
+	go f.apply()
 	f.start(v)
 	return nil
 }
@@ -205,7 +222,7 @@
 
 // Release stops to read, for the process that goes on in this one's place; the socket stays open, so that
 // Again can take it back. Nil: this process has no part to give.
-func (f *Fleet) Release() *membership.Snapshot {
+func (f *Fleet) Release() *Handover {
 	v := f.halt()
 	if v == nil {
 		return nil
@@ -213,8 +230,7 @@
 	f.mu.Lock()
 	f.kept = v
 	f.mu.Unlock()
-	s := v.Snapshot()
-	return &s
+	return &Handover{View: v.Snapshot(), Verdicts: f.keep.Save(f.now())}
 }
 
 // Again goes on after the process that had taken over is gone.
@@ -388,24 +404,20 @@
 // carryOut sends, logs and passes on what the view has to say.
 func (f *Fleet) carryOut(v *membership.View) (changed bool) {
 	sends, changes, heard := v.Take()
+	for _, h := range heard {
+		f.hear(h)
+	}
+	f.tend(v) // what it says goes out with the rest
+	more, later, _ := v.Take()
+	changes = append(changes, later...)
 	keys := f.keys.Load()
-	for _, s := range sends {
+	for _, s := range append(sends, more...) {
 		// A full socket buffer loses the datagram, as the network may.
 		_, _ = f.conn.WriteToUDPAddrPort(keys.seal(s.Data), s.To)
 	}
 	for _, c := range changes {
 		f.tell(c)
 	}
-	for _, h := range heard {
-		if h.Kind != toModule {
-			continue
-		}
-		f.toldUs.Add(1)
-		select {
-		case f.heard <- h:
-		default:
-		}
-	}
 	if v.Joined() {
 		f.mark(f.joined)
 	}
@@ -418,6 +430,20 @@
 	return len(changes) > 0
 }
 
+// hear passes on what another member's layer above has to say.
+func (f *Fleet) hear(h membership.Heard) {
+	switch h.Kind {
+	case toVerdict:
+		f.hearVerdict(h)
+	case toModule:
+		f.toldUs.Add(1)
+		select {
+		case f.heard <- h:
+		default:
+		}
+	}
+}
+
 func (f *Fleet) mark(c chan struct{}) {
 	select {
 	case <-c:
@@ -485,6 +511,7 @@
 		}
 	}
 	f.alive.Store(&alive)
+	f.showVerdicts(alive)
 	f.show.Store(s)
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -179,7 +179,7 @@
 		t.Fatal(err)
 	}
 	defer f.Close()
-	if err := f.Begin(nil); err != nil {
+	if err := f.Begin(nil, nil); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := Open(c, standin.Quiet(), nil); err == nil {
--- a/internal/fleet/seal.go
+++ b/internal/fleet/seal.go
@@ -42,9 +42,11 @@
 	errKey      = errors.New("key")
 	errUnsealed = errors.New("unsealed")
 	errFull     = errors.New("queue_full")
+	errMessage  = errors.New("message") // of a layer above, and not readable
 )
 
-var openErrors = []error{errCut, errLong, errForeign, errVersion, errDamaged, errKey, errUnsealed, errFull}
+var openErrors = []error{errCut, errLong, errForeign, errVersion, errDamaged, errKey, errUnsealed, errFull,
+	errMessage}
 
 // key is one that seals and opens.
 type key struct {
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -110,7 +110,7 @@
 		v.drop(Replayed)
 		return
 	}
-	m.stamp = h.stamp
+	m.stamp, m.app = h.stamp, h.app
 	if h.inc > m.inc && h.kind != kindClaim && h.kind != kindVerdict { // it has heard of an accusation
 		r := m.record
 		r.inc, r.state = h.inc, Alive
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -103,6 +103,7 @@
 	Inc        uint32 // the incarnation
 	Since      Micros // in this state
 	Stamp      uint32 // its Settings.Stamp, as far as heard; 0: not yet
+	App        uint32 // what it last told by Tell; 0: nothing yet
 }
 
 // Send is a datagram that is to go out. Its content is not sealed.
@@ -176,6 +177,7 @@
 	met     bool     // it has answered us, so it knows us
 	told    bool     // of the accusation of this incarnation
 	stamp   uint32
+	app     uint32
 	window  window
 	helper  uint64 // whose indirect probe reached it last
 }
@@ -186,7 +188,7 @@
 		s = Suspect
 	}
 	return Member{Name: m.name, Zone: m.zone, Addr: m.addr, State: s, Birth: m.birth, Inc: m.inc,
-		Since: m.since, Stamp: m.stamp}
+		Since: m.since, Stamp: m.stamp, App: m.app}
 }
 
 // window drops datagrams that come again: the highest number so far and which of the 64 before it were seen.
@@ -285,6 +287,7 @@
 	claim    *claim
 	conflict *Conflict
 	left     bool
+	app      uint32 // told with each datagram
 	knocks   []newcomer
 
 	out     []Send
@@ -384,6 +387,9 @@
 	return slices.Insert(out, at, v.Self())
 }
 
+// Tell has a number of the layer above go with each datagram from now on: Member.App at the others.
+func (v *View) Tell(app uint32) { v.app = app }
+
 // Digest is equal at two members whose views are.
 func (v *View) Digest() uint64 { return v.digest }
 
--- a/internal/membership/wire.go
+++ b/internal/membership/wire.go
@@ -34,7 +34,7 @@
 )
 
 const (
-	headSize = 1 + 8 + 4 + 6 + 8 + 4
+	headSize = 1 + 8 + 4 + 6 + 8 + 4 + 4
 	lowBits  = 1<<32 - 1
 	fullBit  = 0x80
 	typeBits = 0x07
@@ -206,12 +206,13 @@
 	seq    uint64
 	digest uint64
 	stamp  uint32
+	app    uint32
 }
 
 func (r *reader) head() (h head) {
 	h.kind, h.birth, h.inc = r.u8(), r.u64(), r.u32()
 	h.seq = uint64(r.u32()) | uint64(r.u16())<<32
-	h.digest, h.stamp = r.u64(), r.u32()
+	h.digest, h.stamp, h.app = r.u64(), r.u32(), r.u32()
 	r.bad = r.bad || h.kind == 0 || h.kind >= kinds || h.birth == 0
 	return h
 }
@@ -226,7 +227,8 @@
 	b = binary.LittleEndian.AppendUint32(b, uint32(v.seq))
 	b = binary.LittleEndian.AppendUint16(b, uint16(v.seq>>32))
 	b = binary.LittleEndian.AppendUint64(b, v.digest)
-	return binary.LittleEndian.AppendUint32(b, v.cfg.Stamp)
+	b = binary.LittleEndian.AppendUint32(b, v.cfg.Stamp)
+	return binary.LittleEndian.AppendUint32(b, v.app)
 }
 
 // with begins a datagram and says of this member who it is, where the other may not know.
--- a/internal/net/http.go
+++ b/internal/net/http.go
@@ -54,6 +54,8 @@
 	switch status {
 	case 200:
 		return "OK"
+	case 202:
+		return "Accepted"
 	case 400:
 		return "Bad Request"
 	case 404:
--- a/internal/platform/fleet.go
+++ b/internal/platform/fleet.go
@@ -9,7 +9,7 @@
 
 	"lapislever/internal/core"
 	"lapislever/internal/fleet"
-	"lapislever/internal/membership"
+	"lapislever/internal/verdict"
 )
 
 const (
@@ -18,7 +18,10 @@
 	joinSlack = 16
 	// leavePeriods is how long the end waits at most for others to hear of it.
 	leavePeriods = 3
-	bindEvery    = 200 * time.Millisecond
+	// toldPeriods is how long a start waits at most to be told the fleet's verdicts.
+	toldPeriods = 8
+	toldLook    = 5 * time.Millisecond
+	bindEvery   = 200 * time.Millisecond
 )
 
 func (c *Config) fleetSockets() int {
@@ -34,8 +37,8 @@
 	return c.Fleet != nil && c.Fleet.Fleet.Listen == c.PeerListen
 }
 
-// joinFleet opens the fleet's socket and waits until this member is let in, or goes on alone. One that takes
-// over from another process begins once that one stops, see takeFleetOver.
+// joinFleet opens the fleet's socket. One that takes over from another process gets that one's, and begins
+// once that one stops: see takeFleetOver.
 func (k *Coordinator) joinFleet(h *inheritance, beside bool) (err error) {
 	if h != nil && h.fleet != nil {
 		k.fleet, err = fleet.Open(k.cfg.Fleet, k.log, h.fleet)
@@ -50,12 +53,31 @@
 		time.Sleep(bindEvery)
 		k.fleet, err = fleet.Open(k.cfg.Fleet, k.log, nil)
 	}
-	if err = k.fleet.Begin(nil); err != nil {
+	return nil
+}
+
+// enterFleet begins to take part, unless this process takes over from another, and waits until this member is
+// let in and told what the fleet holds, or goes on alone. The core has to run.
+func (k *Coordinator) enterFleet() error {
+	if k.fleet == nil || k.upgrade.place != nil {
+		return nil
+	}
+	if err := k.fleet.Begin(nil, k.carryVerdict); err != nil {
 		return err
 	}
 	return k.awaitFleet()
 }
 
+// carryVerdict carries out here what the whole fleet holds.
+func (k *Coordinator) carryVerdict(c verdict.Change) bool {
+	id := core.ServerID(c.Verdict.What)
+	if !k.core.Bar(id, c.Holds) {
+		return false
+	}
+	k.upgrade.pass(id, c.Holds, true)
+	return true
+}
+
 // awaitFleet waits until this member is one.
 func (k *Coordinator) awaitFleet() error {
 	late := time.NewTimer(joinSlack * k.cfg.Fleet.Period())
@@ -67,6 +89,13 @@
 		return err
 	case <-late.C:
 		k.log.Warn("not let into the fleet in time: serving all the same")
+		return nil
+	}
+	for end := time.Now().Add(toldPeriods * k.cfg.Fleet.Period()); !k.fleet.Told(); time.Sleep(toldLook) {
+		if time.Now().After(end) {
+			k.log.Warn("nobody has told the fleet's verdicts in time: serving without what they may be")
+			break
+		}
 	}
 	return nil
 }
@@ -96,7 +125,7 @@
 	if k.fleet == nil || k.upgrade.place == nil {
 		return
 	}
-	var from *membership.Snapshot
+	var from *fleet.Handover
 	select {
 	case from = <-k.upgrade.place:
 	case <-time.After(linkWait):
@@ -104,7 +133,7 @@
 	case <-k.stop:
 		return
 	}
-	if err := k.fleet.Begin(from); err != nil {
+	if err := k.fleet.Begin(from, k.carryVerdict); err != nil {
 		k.log.Error("no part in the fleet", "err", err)
 	}
 }
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -20,8 +20,8 @@
 	"lapislever/internal/admin"
 	"lapislever/internal/core"
 	"lapislever/internal/fleet"
-	"lapislever/internal/membership"
 	lnet "lapislever/internal/net"
+	"lapislever/internal/verdict"
 )
 
 const (
@@ -156,10 +156,10 @@
 	go k.core.Run()
 	k.upgrade = &upgrade{k: k, path: socketPath(cfg), budget: budget, all: most}
 	if h != nil && h.fleet != nil {
-		k.upgrade.place = make(chan *membership.Snapshot, 1)
+		k.upgrade.place = make(chan *fleet.Handover, 1)
 	}
 	if h != nil {
-		k.core.Post(core.Inherited{Out: h.greeting.Out, Since: h.greeting.Since,
+		k.core.Post(core.Inherited{Out: h.greeting.Out, Barred: h.greeting.Barred, Since: h.greeting.Since,
 			Memory: h.greeting.Memory})
 		k.upgrade.follow(h)
 	}
@@ -178,6 +178,10 @@
 	if cfg.Discovery != "" {
 		go w.run(!cfg.Module.Subscribe)
 	}
+	if err := k.enterFleet(); err != nil {
+		k.halt()
+		return nil, err
+	}
 	if !beside {
 		if err := k.accept(budget); err != nil {
 			return nil, err
@@ -316,6 +320,33 @@
 	return d.k.fleet.Status()
 }
 
+// Verdicts are what the fleet holds; nil where there is no fleet.
+func (d doorState) Verdicts() any {
+	if d.k.fleet == nil {
+		return nil
+	}
+	return d.k.fleet.Verdicts()
+}
+
+// Say puts a data node out or back for the whole fleet.
+func (d doorState) Say(c admin.FleetCall, within time.Duration) (any, bool, error) {
+	known := d.k.core.Knows(core.ServerID(c.ID), within)
+	if c.Out && !known {
+		return nil, false, admin.ErrUnknown
+	}
+	s, err := d.k.fleet.Say(verdict.Verdict{Kind: verdict.Node, What: c.ID, On: c.Out,
+		By: c.By, Reason: c.Reason, Span: c.Span.Microseconds()}, within, c.Wait)
+	switch {
+	case errors.Is(err, fleet.ErrLate):
+		err = admin.ErrLate
+	case errors.Is(err, fleet.ErrNothing):
+		err = admin.ErrUnknown
+	case errors.Is(err, verdict.ErrForm):
+		err = admin.ErrForm
+	}
+	return s, len(s.Missing) == 0, err
+}
+
 // gate is a keeper in the door's terms.
 type gate struct{ *lnet.Keeper }
 
@@ -326,7 +357,7 @@
 func (d doorState) Cordon(id string, out bool, within time.Duration) error {
 	known, inTime := d.k.core.Cordon(core.ServerID(id), out, within)
 	if known {
-		d.k.upgrade.pass(core.ServerID(id), out)
+		d.k.upgrade.pass(core.ServerID(id), out, false)
 	}
 	switch {
 	case !inTime:
--- a/internal/platform/upgrade.go
+++ b/internal/platform/upgrade.go
@@ -26,7 +26,7 @@
 
 	"lapislever/balance"
 	"lapislever/internal/core"
-	"lapislever/internal/membership"
+	"lapislever/internal/fleet"
 	lnet "lapislever/internal/net"
 )
 
@@ -49,17 +49,19 @@
 	Peers   string                               `json:"peers,omitempty"`   //
 	Sockets []string                             `json:"sockets,omitempty"` // old: the sockets that come along
 	Out     map[balance.ReplicaID]balance.Micros `json:"out,omitempty"`     // old: what is out, since when
+	Barred  map[balance.ReplicaID]balance.Micros `json:"barred,omitempty"`  // old: the same by the whole fleet
 	Since   map[balance.ReplicaID]balance.Micros `json:"since,omitempty"`   // old: and back
 	Memory  balance.Memory                       `json:"memory"`            // old: what its module hands over
 	Most    int                                  `json:"most,omitempty"`    // old: descriptors for the new one
 	Ready   bool                                 `json:"ready,omitempty"`   // new: it serves
 	Cordon  *cordonWord                          `json:"cordon,omitempty"`  // both: an operator's call
-	Fleet   *membership.Snapshot                 `json:"fleet,omitempty"`   // old: where it stands in the fleet
+	Fleet   *fleet.Handover                      `json:"fleet,omitempty"`   // old: where it stands in the fleet
 }
 
 type cordonWord struct {
 	Server balance.ReplicaID `json:"server"`
 	Out    bool              `json:"out"`
+	Fleet  bool              `json:"fleet,omitempty"`
 	At     balance.Micros    `json:"at"`
 }
 
@@ -296,8 +298,8 @@
 	k      *Coordinator
 	path   string
 	budget *lnet.Budget
-	all    int                       // descriptors for clients and nodes, while there is one process
-	place  chan *membership.Snapshot // the old process's in the fleet; nil: none is to be taken over
+	all    int                  // descriptors for clients and nodes, while there is one process
+	place  chan *fleet.Handover // the old process's in the fleet; nil: none is to be taken over
 
 	mu        sync.Mutex // guards all below
 	asked     *net.UnixListener
@@ -468,7 +470,7 @@
 	if !ok {
 		return errors.New("the core is busy")
 	}
-	w := word{Out: said.Out, Since: said.Since, Memory: said.Memory, Most: u.rest(mine)}
+	w := word{Out: said.Out, Barred: said.Barred, Since: said.Since, Memory: said.Memory, Most: u.rest(mine)}
 	socks := []any{u.k.server.Listener()}
 	w.Sockets = []string{"listen"}
 	if u.k.peers != nil {
@@ -547,18 +549,18 @@
 // obey carries out an operator's call that the other process has had.
 func (u *upgrade) obey(w word) {
 	if c := w.Cordon; c != nil {
-		u.k.core.Post(core.Cordon{Server: c.Server, Out: c.Out, At: c.At, Sure: true})
+		u.k.core.Post(core.Cordon{Server: c.Server, Out: c.Out, Fleet: c.Fleet, At: c.At, Sure: true})
 	}
 }
 
-// pass tells the other process, if there is one, of an operator's call.
-func (u *upgrade) pass(id balance.ReplicaID, out bool) {
+// pass tells the other process, if there is one, of an operator's call, or of the whole fleet's word.
+func (u *upgrade) pass(id balance.ReplicaID, out, byFleet bool) {
 	u.mu.Lock()
 	links := [2]*link{u.old, u.successor}
 	u.mu.Unlock()
 	for _, l := range links {
 		if l != nil {
-			l.say(word{Cordon: &cordonWord{Server: id, Out: out, At: time.Now().UnixMicro()}})
+			l.say(word{Cordon: &cordonWord{Server: id, Out: out, Fleet: byFleet, At: time.Now().UnixMicro()}})
 		}
 	}
 }
--- a/internal/platform/upgrade_test.go
+++ b/internal/platform/upgrade_test.go
@@ -214,7 +214,7 @@
 	if err := k.upgrade.greet(old, 20); err != nil {
 		t.Fatal(err)
 	}
-	k.upgrade.pass(7, true)
+	k.upgrade.pass(7, true, false)
 	go old.talk()
 	_ = theirs.SetReadDeadline(time.Now().Add(20 * time.Second))
 	if w, err := fresh.next(); err != nil || w.Sockets[0] != "listen" {
--- /dev/null
+++ b/internal/rig/verdict_test.go
@@ -0,0 +1,229 @@
+package rig
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// sayLimit is within how many periods a verdict holds at every member in reach: docs/VERDICTS.md.
+func sayLimit(members int) time.Duration {
+	bits := 0
+	for 1<<bits < members {
+		bits++
+	}
+	return time.Duration(4+2*bits) * period
+}
+
+type said struct {
+	Held, Missing []string
+}
+
+// say makes a call for the whole fleet at a member's door.
+func (m *Member) say(t *testing.T, call, body, query string) (status int, s said) {
+	t.Helper()
+	reply, err := m.Call("POST", "/admin/fleet/"+call+query, body)
+	if err != nil {
+		t.Fatalf("%s at %s: %v", call, m.Name, err)
+	}
+	_ = json.Unmarshal(reply.Body, &s)
+	return reply.Status, s
+}
+
+// holds tells what a member's door says of verdicts: the things that are out.
+func (m *Member) holds() (what []string, told bool) {
+	reply, err := m.Call("GET", "/admin/verdicts", "")
+	if err != nil || reply.Status != 200 {
+		return []string{"?"}, false
+	}
+	var v struct {
+		Verdicts []struct {
+			What    string
+			Missing []string
+		}
+		Told bool
+	}
+	_ = json.Unmarshal(reply.Body, &v)
+	for _, x := range v.Verdicts {
+		what = append(what, x.What)
+	}
+	return what, v.Told
+}
+
+func allHold(r *Rig, want ...string) func() bool {
+	return func() bool {
+		for _, m := range r.Running() {
+			if got, _ := m.holds(); !slices.Equal(got, want) {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// parts counts what a data node got between two moments of the history, in milliseconds.
+func parts(r *Rig, node string, from, to float64) (n int) {
+	for _, e := range r.History.Events() {
+		if e.Kind == KindPart && e.Who == node && e.MS >= from && e.MS < to {
+			n++
+		}
+	}
+	return n
+}
+
+func (h *History) now() float64 { return float64(time.Since(h.begun).Microseconds()) / 1000 }
+
+// A call at one of three holds at all; nothing new is sent to the node, as the node counts; each of them is
+// restarted in turn and none forgets; the call back holds at all again.
+func TestACordonHoldsAndOutlivesRestarts(t *testing.T) {
+	r := open(t, Config{Members: 3, Seed: 31, Rate: 30})
+	awaitSettled(t, r, "start")
+	if !within(patience, func() bool { return parts(r, "n0", 0, 1e12) > 10 }) {
+		t.Fatal("n0 gets nothing anyhow")
+	}
+	status, s := r.Member("m01").say(t, "cordon", "n0", "?wait=2s")
+	if status != 200 || len(s.Held) != 3 || len(s.Missing) != 0 {
+		t.Fatalf("%d %+v", status, s)
+	}
+	out := r.History.now()
+	for _, m := range r.Members() {
+		if status := m.Term(); status != 0 {
+			t.Fatalf("%s ended with %d", m.Name, status)
+		}
+		if err := m.Start(); err != nil {
+			t.Fatal(err)
+		}
+		awaitSettled(t, r, "restart of "+m.Name)
+		if got, told := m.holds(); !slices.Equal(got, []string{"n0"}) || !told {
+			t.Fatalf("%s holds %v after its restart, told: %v", m.Name, got, told)
+		}
+	}
+	time.Sleep(5 * period)
+	if n := parts(r, "n0", out+5, 1e12); n > 0 { // what was written before may still be on its way
+		t.Fatalf("%d parts went to a node that is out", n)
+	}
+	if other := parts(r, "n2", out, 1e12); other == 0 {
+		t.Fatal("nothing goes to the partner either")
+	}
+	if status, s = r.Member("m00").say(t, "uncordon", "n0", "?wait=2s"); status != 200 || len(s.Missing) != 0 {
+		t.Fatalf("%d %+v", status, s)
+	}
+	back := r.History.now()
+	if !within(patience, func() bool { return parts(r, "n0", back, 1e12) > 0 }) {
+		t.Fatal("the node gets nothing after it was put back")
+	}
+	for call, want := range map[string]int{"cordon nowhere": 404, "uncordon n0": 404, "cordon ": 400,
+		"cordon n0 fast": 400, "uncordon n0 1s": 400} {
+		name, body, _ := strings.Cut(call, " ")
+		if status, _ := r.Member("m00").say(t, name, body, ""); status != want {
+			t.Errorf("%s: %d, not %d", call, status, want)
+		}
+	}
+}
+
+// Operators on both sides of a cut say contrary things; after the heal all hold one. While cut, each side's
+// door says who is missing once they are dead to it, and a wait for them is a 202 before.
+func TestContraryCallsOnBothSides(t *testing.T) {
+	r := open(t, Config{Members: 6, Seed: 32, Rate: 10})
+	awaitSettled(t, r, "start")
+	a, b := r.Members()[:3], r.Members()[3:]
+	if status, _ := a[0].say(t, "cordon", "n1", "?wait=2s"); status != 200 {
+		t.Fatal(status)
+	}
+	r.cut([][]string{{"m00", "m01", "m02"}, {"m03", "m04", "m05"}}, false, Fault{})
+	status, s := a[1].say(t, "uncordon", "n1", "?wait=300ms")
+	if status != 202 || !slices.Contains(s.Missing, "m04") || !slices.Contains(s.Held, "m01") {
+		t.Fatalf("%d %+v", status, s)
+	}
+	time.Sleep(period)
+	if status, _ = b[0].say(t, "cordon", "n2", ""); status != 200 {
+		t.Fatal(status)
+	}
+	if status, _ = b[1].say(t, "cordon", "n1 1h", ""); status != 200 { // later than the other side's word
+		t.Fatal(status)
+	}
+	if !within(patience, func() bool {
+		x, _ := a[0].holds()
+		y, _ := b[2].holds()
+		return len(x) == 0 && slices.Equal(y, []string{"n1", "n2"})
+	}) {
+		t.Fatal("the sides do not hold what was said there")
+	}
+	r.Between(Fault{})
+	if !within(time.Duration(SettlePeriods)*period+sayLimit(6)+2*pollEvery, allHold(r, "n1", "n2")) {
+		t.Fatal("no one verdict after the heal")
+	}
+	for _, f := range Check(r.History.Events(), false) {
+		t.Error(f)
+	}
+}
+
+// A verdict survives the death of all that it was told to but three, an upgrade, and ends when it should.
+func TestAVerdictOutlivesAHerdAndEnds(t *testing.T) {
+	r := open(t, Config{Members: 8, Seed: 33, Rate: 8})
+	awaitSettled(t, r, "start")
+	if status, s := r.Member("m07").say(t, "cordon", "n3", "?wait=3s"); status != 200 {
+		t.Fatalf("%d %+v", status, s)
+	}
+	span := 40 * period
+	begun := time.Now()
+	if status, s := r.Member("m07").say(t, "cordon", fmt.Sprintf("n0 %v", span), "?wait=3s"); status != 200 {
+		t.Fatalf("%d %+v", status, s)
+	}
+	herd := r.Members()[3:]
+	for _, m := range herd {
+		m.Kill()
+	}
+	if err := r.Member("m00").Upgrade(); err != nil {
+		t.Fatal(err)
+	}
+	if got, _ := r.Member("m00").holds(); !slices.Contains(got, "n3") {
+		t.Fatalf("after the upgrade it holds %v", got)
+	}
+	for _, m := range herd {
+		if err := m.Start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	awaitSettled(t, r, "the herd is back")
+	for _, m := range herd {
+		if got, told := m.holds(); !slices.Contains(got, "n3") || !told {
+			t.Errorf("%s is back and holds %v, told: %v", m.Name, got, told)
+		}
+	}
+	if time.Since(begun) < span {
+		if got, _ := herd[0].holds(); !slices.Contains(got, "n0") {
+			t.Errorf("n0 is back before its time: %v", got)
+		}
+	}
+	if !within(patience, allHold(r, "n3")) {
+		t.Fatal("the verdict with an end does not end")
+	}
+	if early := span - time.Since(begun); early > period {
+		t.Fatalf("it ended %v early", early)
+	}
+}
+
+// At 30% loss, and with a node that sees the fleet through one member only, a verdict holds in time.
+func TestAVerdictArrivesAtLoss(t *testing.T) {
+	r := open(t, Config{Members: 8, Seed: 34, Rate: 5})
+	awaitSettled(t, r, "start")
+	r.Between(Fault{Loss: 0.3, Twice: 0.2, Reorder: 0.2})
+	for k, who := range []string{"m00", "m05", "m03"} {
+		call, want := "cordon", []string{"n2"}
+		if k == 1 {
+			call, want = "uncordon", nil
+		}
+		if status, _ := r.Member(who).say(t, call, "n2", ""); status != 200 {
+			t.Fatalf("%s at %s: %d", call, who, status)
+		}
+		begun := time.Now()
+		if !within(sayLimit(8)+2*pollEvery, allHold(r, want...)) {
+			t.Fatalf("%s at %s does not hold everywhere within %v", call, who, sayLimit(8))
+		}
+		t.Logf("%s held everywhere after %.1f periods", call, float64(time.Since(begun))/float64(period))
+	}
+}
