Let words on prefixes hold at every gate of the fleet

Need: a ban at one coordinator's gate left the others open, and the next restart forgot it.

Bans and pins go the way of data nodes that are out: one entry a prefix, the later word wins, it ends by its age. `/admin/fleet/ban`, `pin` and `lift`, the same words of `lapislever fleet`. A coordinator without a gate holds them without effect, for those that have one.

Also tried and not kept: verdicts by evidence, each member saying of a node that it is sick once it has seen enough itself.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -71,10 +71,12 @@
 	Say(c FleetCall, within time.Duration) (shown any, all bool, err error)
 }
 
-// FleetCall is a call that puts a data node out or back for the whole fleet.
+// FleetCall is a call that puts a data node out or back for the whole fleet, or bans, pins or lifts a prefix.
 type FleetCall struct {
-	ID         string
-	Out        bool
+	ID         string // of the node
+	Prefix     netip.Prefix
+	Pin        bool // of a prefix: known, not banned
+	Out        bool // of a node: out; of a prefix: the word holds
 	By, Reason string
 	Span       time.Duration // 0: until it is taken back
 	Wait       time.Duration // for all who are alive
@@ -113,10 +115,7 @@
 			return true
 		}
 		text, span, _ := strings.Cut(strings.TrimSpace(string(r.Body)), " ")
-		p, err := netip.ParsePrefix(text)
-		if a, aerr := netip.ParseAddr(text); err != nil && aerr == nil {
-			p, err = a.Prefix(a.BitLen())
-		}
+		p, err := parsePrefix(text)
 		if err != nil {
 			say(400, "the body has to be a prefix or an address, and for a ban or a pin a time such as 10m")
 			return true
@@ -162,7 +161,8 @@
 		act = func() { show(x, say, s.Fleet()) }
 	case "/admin/verdicts":
 		act = func() { show(x, say, s.Verdicts()) }
-	case "/admin/fleet/cordon", "/admin/fleet/uncordon":
+	case "/admin/fleet/cordon", "/admin/fleet/uncordon", "/admin/fleet/ban", "/admin/fleet/pin",
+		"/admin/fleet/lift":
 		method = "POST"
 		act = func() {
 			c, err := fleetCall(r)
@@ -188,13 +188,24 @@
 
 // fleetCall reads a call: ID [TIME], and ?wait=TIME.
 func fleetCall(r *lnet.Request) (c FleetCall, err error) {
-	c.Out = r.Path == "/admin/fleet/cordon"
+	call := strings.TrimPrefix(r.Path, "/admin/fleet/")
+	prefix := call == "ban" || call == "pin" || call == "lift"
+	c.Out, c.Pin = call == "cordon" || call == "ban" || call == "pin", call == "pin"
 	c.By, c.Reason = r.Header.Get("X-By"), r.Header.Get("X-Reason")
 	fields := strings.Fields(string(r.Body))
-	if len(fields) == 0 || len(fields) > 2 || len(fields) == 2 && !c.Out {
+	switch {
+	case prefix && len(fields) != 2 && (c.Out || len(fields) != 1):
+		return c, errors.New("the body has to be a prefix or an address, and for a ban or a pin a time such as 10m")
+	case len(fields) == 0 || len(fields) > 2 || len(fields) == 2 && !c.Out:
 		return c, errors.New("the body has to be one data node's id and, to put it out, a time such as 10m")
 	}
 	c.ID = fields[0]
+	if prefix {
+		if c.Prefix, err = parsePrefix(fields[0]); err != nil {
+			return c, errors.New("the body has to begin with a prefix or an address")
+		}
+		c.ID = ""
+	}
 	if len(fields) == 2 {
 		if c.Span, err = time.ParseDuration(fields[1]); err != nil || c.Span <= 0 || c.Span > 365*24*time.Hour {
 			return c, errors.New("the time has to be one such as 10m, of a year at most")
@@ -215,7 +226,8 @@
 // fleetCordon carries out one call for the whole fleet; it waits, so it has a goroutine of its own.
 func (d *Door) fleetCordon(s Fleeted, c FleetCall, x *lnet.Exchange, say func(status int, text string)) {
 	shown, all, err := s.Say(c, answerIn)
-	d.log.Info("operator's call for the fleet", "node", c.ID, "out", c.Out, "for", c.Span, "err", err)
+	d.log.Info("operator's call for the fleet", "node", c.ID, "prefix", c.Prefix, "on", c.Out, "for", c.Span,
+		"err", err)
 	switch {
 	case errors.Is(err, ErrUnknown):
 		say(404, err.Error())
@@ -237,6 +249,15 @@
 	}
 }
 
+// parsePrefix reads a prefix, or an address as one of its own.
+func parsePrefix(text string) (netip.Prefix, error) {
+	p, err := netip.ParsePrefix(text)
+	if a, aerr := netip.ParseAddr(text); err != nil && aerr == nil {
+		return a.Prefix(a.BitLen())
+	}
+	return p, err
+}
+
 // Door is an open door.
 type Door struct {
 	server *lnet.Server
--- a/internal/console/fleet.go
+++ b/internal/console/fleet.go
@@ -15,7 +15,7 @@
 var ErrUsage = errors.New("usage")
 
 // calls are all that there are.
-const calls = "members, verdicts, cordon ID, uncordon ID"
+const calls = "members, verdicts, cordon ID, uncordon ID, ban PREFIX, pin PREFIX, lift PREFIX"
 
 // watchEvery is the time between two looks of --watch.
 const watchEvery = time.Second
@@ -66,9 +66,9 @@
 		show = f.members
 	case "verdicts":
 		show = f.verdicts
-	case "cordon", "uncordon":
+	case "cordon", "uncordon", "ban", "pin", "lift":
 		if len(words) != 2 {
-			return fmt.Errorf("%w: %s takes one data node's id", ErrUsage, words[0])
+			return fmt.Errorf("%w: %s takes one data node's id, or a prefix", ErrUsage, words[0])
 		}
 		return f.cordon(words[0], words[1], out)
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -240,17 +240,27 @@
 type Cordon struct {
 	Server balance.ReplicaID
 	Out    bool
-	Fleet  bool           // by the whole fleet, not by a call here: both have to say back
+	By     Author         // each who has put it out has to put it back
 	At     balance.Micros // when it was called, in Unix microseconds; 0: now
 	Sure   bool           // another process of this coordinator knows the server: no question
 	Done   chan<- bool    // hears once whether the server is known; it has room. Or nil
 }
 
+// Author is who puts servers out.
+type Author uint8
+
+// The authors: an operator at this coordinator, and one for the whole fleet.
+const (
+	Here Author = iota
+	ByFleet
+	authors
+)
+
 // Inherited is what another process of this coordinator has been told by operators, and what its module hands
 // over.
 type Inherited struct {
 	Out    map[balance.ReplicaID]balance.Micros // and when
-	Barred map[balance.ReplicaID]balance.Micros // the same by the whole fleet
+	Barred map[balance.ReplicaID]balance.Micros // the same by operators for the whole fleet
 	Since  map[balance.ReplicaID]balance.Micros
 	Memory balance.Memory
 }
@@ -309,12 +319,11 @@
 	held     int // queries and parts
 	until    balance.Micros
 	sawList  bool
-	listed   map[balance.ReplicaID]balance.Replica // as discovery tells
-	out      map[balance.ReplicaID]balance.Micros  // put out by operators here, and when
-	barred   map[balance.ReplicaID]balance.Micros  // and by the whole fleet
-	since    map[balance.ReplicaID]balance.Micros  // put back then: started no earlier
-	countAt  balance.Micros                        // when the list's figures are next due
-	idle     chan struct{}                         // closed once nothing is open while stopping
+	listed   map[balance.ReplicaID]balance.Replica         // as discovery tells
+	outs     [authors]map[balance.ReplicaID]balance.Micros // put out, by whom and when
+	since    map[balance.ReplicaID]balance.Micros          // put back then: started no earlier
+	countAt  balance.Micros                                // when the list's figures are next due
+	idle     chan struct{}                                 // closed once nothing is open while stopping
 	idleDone bool
 }
 
@@ -328,14 +337,17 @@
 		cfg.Counts = &Counts{}
 	}
 	now := time.Now()
-	return &Core{
+	c := &Core{
 		cfg: cfg, module: m, queue: make(chan Event, queueSize), done: make(chan struct{}),
 		quit: make(chan struct{}), idle: make(chan struct{}),
 		epoch: now, base: now.UnixMicro(), queries: map[uint32]*Query{}, parts: map[uint32]*part{},
 		names: map[string]*Query{}, numbers: map[float32]bool{}, listed: map[balance.ReplicaID]balance.Replica{},
-		out: map[balance.ReplicaID]balance.Micros{}, barred: map[balance.ReplicaID]balance.Micros{},
 		since: map[balance.ReplicaID]balance.Micros{},
-	}, nil
+	}
+	for i := range c.outs {
+		c.outs[i] = map[balance.ReplicaID]balance.Micros{}
+	}
+	return c, nil
 }
 
 // clock is the module's time: Unix microseconds at the start, and monotonic from there.
@@ -419,12 +431,12 @@
 	return known
 }
 
-// Bar puts a server out or back for the whole fleet, and returns once that holds here, or false once the core
+// Bar puts a server out or back by the fleet's word, and returns once that holds here, or false once the core
 // has ended. The server need not be listed: it may be yet.
-func (c *Core) Bar(id balance.ReplicaID, out bool) bool {
+func (c *Core) Bar(id balance.ReplicaID, by Author, out bool) bool {
 	for {
 		done := make(chan bool, 1)
-		if _, inTime := ask(c, Cordon{Server: id, Out: out, Fleet: true, Sure: true, Done: done}, done,
+		if _, inTime := ask(c, Cordon{Server: id, Out: out, By: by, Sure: true, Done: done}, done,
 			time.Second); inTime {
 			return true
 		}
@@ -548,8 +560,8 @@
 	case Cordon:
 		c.cordon(e)
 	case Inherited: // it comes before any list
-		maps.Copy(c.out, e.Out)
-		maps.Copy(c.barred, e.Barred)
+		maps.Copy(c.outs[Here], e.Out)
+		maps.Copy(c.outs[ByFleet], e.Barred)
 		maps.Copy(c.since, e.Since)
 		for id, at := range e.Memory.Starts { // some of them the list may not tell yet
 			c.since[id] = max(c.since[id], at)
@@ -559,8 +571,8 @@
 		c.cfg.Settings = e.Settings
 		c.events = append(c.events, balance.Event{Kind: balance.Changed, Settings: &e.Settings})
 	case cordons:
-		e.done <- Inherited{Out: maps.Clone(c.out), Barred: maps.Clone(c.barred), Since: maps.Clone(c.since),
-			Memory: c.module.Memory()}
+		e.done <- Inherited{Out: maps.Clone(c.outs[Here]), Barred: maps.Clone(c.outs[ByFleet]),
+			Since: maps.Clone(c.since), Memory: c.module.Memory()}
 	case knows:
 		_, ok := c.listed[e.server]
 		e.done <- ok
@@ -622,20 +634,20 @@
 	c.events = append(c.events, balance.Event{Kind: balance.List, Mode: mode, Replicas: replicas})
 }
 
-// isOut tells that a server is out by a call here or by the whole fleet.
+// isOut tells that somebody has put a server out.
 func (c *Core) isOut(id balance.ReplicaID) bool {
-	_, out := c.out[id]
-	_, barred := c.barred[id]
-	return out || barred
+	for _, by := range c.outs {
+		if _, out := by[id]; out {
+			return true
+		}
+	}
+	return false
 }
 
 // cordon puts a server out or back. Called twice it does no more than once.
 func (c *Core) cordon(e Cordon) {
 	r, listed := c.listed[e.Server]
-	by := c.out
-	if e.Fleet {
-		by = c.barred
-	}
+	by := c.outs[e.By]
 	since, out := by[e.Server]
 	known := listed || out || e.Sure
 	if known && e.Out != out {
--- a/internal/fleet/verdicts.go
+++ b/internal/fleet/verdicts.go
@@ -103,7 +103,7 @@
 	}
 	sends, changes := k.Take()
 	for _, c := range changes {
-		f.log.Info("fleet verdict", "kind", c.Verdict.Kind.String(), "what", c.Verdict.What, "holds", c.Holds,
+		f.log.Info("fleet verdict", "kind", c.Verdict.String(), "what", c.Verdict.What, "holds", c.Holds,
 			"by", c.Verdict.By, "at", c.Verdict.Member, "reason", c.Verdict.Reason)
 		k.Push(f.now(), c.Verdict)
 	}
@@ -142,7 +142,7 @@
 }
 
 func (f *Fleet) status(l verdict.Line, alive []string, wall int64) VerdictStatus {
-	s := VerdictStatus{Kind: l.Kind.String(), What: l.What, By: l.By, Reason: l.Reason, Held: l.Held,
+	s := VerdictStatus{Kind: l.Verdict.String(), What: l.What, By: l.By, Reason: l.Reason, Held: l.Held,
 		AtMS: wall - l.Age/1000, Missing: []string{}}
 	if s.Held == nil {
 		s.Held = []string{}
--- a/internal/platform/fleet.go
+++ b/internal/platform/fleet.go
@@ -5,10 +5,12 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"time"
 
 	"lapislever/internal/core"
 	"lapislever/internal/fleet"
+	lnet "lapislever/internal/net"
 	"lapislever/internal/verdict"
 )
 
@@ -70,14 +72,35 @@
 
 // carryVerdict carries out here what the whole fleet holds.
 func (k *Coordinator) carryVerdict(c verdict.Change) bool {
+	if c.Verdict.Kind == verdict.Prefix {
+		k.carryPrefix(c)
+		return true
+	}
 	id := core.ServerID(c.Verdict.What)
-	if !k.core.Bar(id, c.Holds) {
+	if !k.core.Bar(id, core.ByFleet, c.Holds) {
 		return false
 	}
-	k.upgrade.pass(id, c.Holds, true)
+	k.upgrade.pass(id, core.ByFleet, c.Holds)
 	return true
 }
 
+// carryPrefix tells the gates, where there are any, of a word on a prefix.
+func (k *Coordinator) carryPrefix(c verdict.Change) {
+	p, err := netip.ParsePrefix(c.Verdict.What)
+	if err != nil {
+		return // from a member of another version: nothing to carry out
+	}
+	for _, x := range k.extras {
+		if g, ok := x.(interface{ Gate() *lnet.Keeper }); ok && g.Gate() != nil {
+			if c.Holds {
+				g.Gate().Hold(p, c.Verdict.Word == verdict.Pin, time.Duration(c.Left)*time.Microsecond)
+			} else {
+				g.Gate().Lift(p)
+			}
+		}
+	}
+}
+
 // awaitFleet waits until this member is one.
 func (k *Coordinator) awaitFleet() error {
 	late := time.NewTimer(joinSlack * k.cfg.Fleet.Period())
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -330,12 +330,17 @@
 
 // Say puts a data node out or back for the whole fleet.
 func (d doorState) Say(c admin.FleetCall, within time.Duration) (any, bool, error) {
-	known := d.k.core.Knows(core.ServerID(c.ID), within)
-	if c.Out && !known {
+	v := verdict.Verdict{Kind: verdict.Node, What: c.ID, On: c.Out, By: c.By, Reason: c.Reason,
+		Span: c.Span.Microseconds()}
+	if c.Prefix.IsValid() {
+		v.Kind, v.What = verdict.Prefix, c.Prefix.Masked().String()
+		if c.Pin {
+			v.Word = verdict.Pin
+		}
+	} else if c.Out && !d.k.core.Knows(core.ServerID(c.ID), within) {
 		return nil, false, admin.ErrUnknown
 	}
-	s, err := d.k.fleet.Say(verdict.Verdict{Kind: verdict.Node, What: c.ID, On: c.Out,
-		By: c.By, Reason: c.Reason, Span: c.Span.Microseconds()}, within, c.Wait)
+	s, err := d.k.fleet.Say(v, within, c.Wait)
 	switch {
 	case errors.Is(err, fleet.ErrLate):
 		err = admin.ErrLate
@@ -357,7 +362,7 @@
 func (d doorState) Cordon(id string, out bool, within time.Duration) error {
 	known, inTime := d.k.core.Cordon(core.ServerID(id), out, within)
 	if known {
-		d.k.upgrade.pass(core.ServerID(id), out, false)
+		d.k.upgrade.pass(core.ServerID(id), core.Here, out)
 	}
 	switch {
 	case !inTime:
--- a/internal/platform/upgrade.go
+++ b/internal/platform/upgrade.go
@@ -61,7 +61,7 @@
 type cordonWord struct {
 	Server balance.ReplicaID `json:"server"`
 	Out    bool              `json:"out"`
-	Fleet  bool              `json:"fleet,omitempty"`
+	By     core.Author       `json:"by,omitempty"`
 	At     balance.Micros    `json:"at"`
 }
 
@@ -549,18 +549,18 @@
 // obey carries out an operator's call that the other process has had.
 func (u *upgrade) obey(w word) {
 	if c := w.Cordon; c != nil {
-		u.k.core.Post(core.Cordon{Server: c.Server, Out: c.Out, Fleet: c.Fleet, At: c.At, Sure: true})
+		u.k.core.Post(core.Cordon{Server: c.Server, Out: c.Out, By: c.By, At: c.At, Sure: true})
 	}
 }
 
-// pass tells the other process, if there is one, of an operator's call, or of the whole fleet's word.
-func (u *upgrade) pass(id balance.ReplicaID, out, byFleet bool) {
+// pass tells the other process, if there is one, of an operator's call, or of the fleet's word.
+func (u *upgrade) pass(id balance.ReplicaID, by core.Author, out bool) {
 	u.mu.Lock()
 	links := [2]*link{u.old, u.successor}
 	u.mu.Unlock()
 	for _, l := range links {
 		if l != nil {
-			l.say(word{Cordon: &cordonWord{Server: id, Out: out, Fleet: byFleet, At: time.Now().UnixMicro()}})
+			l.say(word{Cordon: &cordonWord{Server: id, Out: out, By: by, At: time.Now().UnixMicro()}})
 		}
 	}
 }
--- a/internal/platform/upgrade_test.go
+++ b/internal/platform/upgrade_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"lapislever/internal/core"
 	lnet "lapislever/internal/net"
 	"lapislever/internal/standin"
 )
@@ -214,7 +215,7 @@
 	if err := k.upgrade.greet(old, 20); err != nil {
 		t.Fatal(err)
 	}
-	k.upgrade.pass(7, true, false)
+	k.upgrade.pass(7, core.Here, true)
 	go old.talk()
 	_ = theirs.SetReadDeadline(time.Now().Add(20 * time.Second))
 	if w, err := fresh.next(); err != nil || w.Sockets[0] != "listen" {
--- a/internal/rig/verdict_test.go
+++ b/internal/rig/verdict_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
@@ -227,3 +229,85 @@
 		t.Logf("%s held everywhere after %.1f periods", call, float64(time.Since(begun))/float64(period))
 	}
 }
+
+// A prefix that is banned at one coordinator is banned at the gates of all, also of one that starts
+// afterwards, and lifted at all.
+func TestABanHoldsAtEveryGate(t *testing.T) {
+	program, err := Program()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, dir := &Rig{}, t.TempDir()
+	if err := r.findNet(); err != nil {
+		t.Fatal(err)
+	}
+	defer r.closers[0]()
+	const front = `listen = "%s"
+[admission]
+reserve = 2
+[[class]]
+name = "rate-check"
+effect = "safe"
+aim_s = 1.0
+deadline_s = 2.0
+worth = 1.0
+[[server]]
+name = "a"
+address = "127.0.0.1:9"
+form = "old"
+cell = 0
+`
+	begin := func(i int) {
+		paths := [2]string{filepath.Join(dir, fmt.Sprint("front", i)), filepath.Join(dir, fmt.Sprint("fleet", i))}
+		texts := [2]string{fmt.Sprintf(front, r.host(1+i, portFront)), fmt.Sprintf(
+			"[fleet]\nname = \"g%d\"\nlisten = %q\njoin = [%q]\nmost = 9\n", i, r.host(1+i, portFleet),
+			r.host(1, portFleet))}
+		for k := range paths {
+			if err := os.WriteFile(paths[k], []byte(texts[k]), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		p, err := Start(program, []string{"serve", "--translate", paths[0], "--fleet", paths[1]},
+			[]string{"RELAY_CONFIG=", "RELAY_OPERATOR=" + r.host(1+i, portDoor)}, paths[0]+".log")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(p.Kill)
+	}
+	banned := func(i int) bool {
+		reply, err := call(r.host(1+i, portDoor), "GET", "/admin/admission", "")
+		return err == nil && reply.Status == 200 && strings.Contains(string(reply.Body), "10.9.0.0/16")
+	}
+	up := func(i int) bool {
+		reply, err := call(r.host(1+i, portDoor), "GET", "/admin/fleet", "")
+		return err == nil && reply.Status == 200
+	}
+	begin(0)
+	begin(1)
+	if !within(patience, func() bool { return up(0) && up(1) }) {
+		t.Fatal("no start")
+	}
+	if reply, err := call(r.host(1, portDoor), "POST", "/admin/fleet/ban", "10.9.0.0/16 1h"); err != nil ||
+		reply.Status != 200 {
+		t.Fatalf("%v %+v", err, reply)
+	}
+	begin(2)
+	if !within(patience, func() bool { return banned(0) && banned(1) && banned(2) }) {
+		t.Fatalf("banned at %v %v %v", banned(0), banned(1), banned(2))
+	}
+	if reply, err := call(r.host(2, portDoor), "POST", "/admin/fleet/lift", "10.9.0.0/16"); err != nil ||
+		reply.Status != 200 {
+		t.Fatalf("%v %+v", err, reply)
+	}
+	if !within(patience, func() bool { return !banned(0) && !banned(1) && !banned(2) }) {
+		t.Fatal("not lifted everywhere")
+	}
+	for call_, want := range map[string]int{"ban 10.9.0.0/16": 400, "ban nonsense 1h": 400,
+		"lift 10.9.9.9": 404} {
+		name, body, _ := strings.Cut(call_, " ")
+		if reply, err := call(r.host(1, portDoor), "POST", "/admin/fleet/"+name, body); err != nil ||
+			reply.Status != want {
+			t.Errorf("%s: %v %+v", call_, err, reply)
+		}
+	}
+}
--- a/internal/verdict/spread.go
+++ b/internal/verdict/spread.go
@@ -186,6 +186,7 @@
 	if e.On {
 		flags = 1
 	}
+	flags |= byte(e.Word) << 1
 	b = append(b, byte(e.Kind), flags)
 	b = binary.LittleEndian.AppendUint64(b, e.Stamp)
 	b = binary.LittleEndian.AppendUint64(b, uint64(max(0, now-e.born)))
@@ -237,11 +238,12 @@
 
 func (r *reader) verdict() (v Verdict, age Micros) {
 	head := r.take(2)
-	v.Kind, v.On = Kind(head[0]), head[1] == 1
+	v.Kind, v.On, v.Word = Kind(head[0]), head[1]&1 == 1, Word(head[1]>>1)
 	v.Stamp = r.u64()
 	a, span := r.u64(), r.u64()
 	v.What, v.Member, v.By, v.Reason = r.text(MaxWhat), r.text(maxMember), r.text(MaxBy), r.text(MaxReason)
-	r.bad = r.bad || head[1] > 1 || v.Kind != Node || v.What == "" || a > ageMost || span > ageMost
+	r.bad = r.bad || v.Word > Pin || v.Kind < Node || v.Kind > Prefix || v.What == "" || a > ageMost ||
+		span > ageMost
 	v.Span = Micros(span)
 	return v, Micros(a)
 }
--- a/internal/verdict/table.go
+++ b/internal/verdict/table.go
@@ -19,7 +19,7 @@
 // Bounds of a table.
 const (
 	Most       = 4096 // entries, tombstones among them
-	MaxWhat    = 64   // bytes of a name
+	MaxWhat    = 80   // bytes of a name
 	MaxBy      = 32
 	MaxReason  = 56
 	KeepEnded  = 3600 * 1_000_000 // us that an entry is kept after its end
@@ -31,14 +31,27 @@
 
 // The kinds of thing.
 const (
-	Node Kind = 1 + iota // a data node, by discovery's id
+	Node   Kind = 1 + iota // a data node, by discovery's id
+	Prefix                 // of clients' addresses
 )
 
-func (k Kind) String() string {
-	if k == Node {
-		return "node_out"
+// Word is what a verdict on a prefix says.
+type Word uint8
+
+// The words on a prefix.
+const (
+	Ban Word = iota
+	Pin
+)
+
+func (v *Verdict) String() string {
+	switch {
+	case v.Kind == Prefix && v.Word == Pin:
+		return "prefix_pinned"
+	case v.Kind == Prefix:
+		return "prefix_banned"
 	}
-	return "unknown"
+	return "node_out"
 }
 
 // Errors of Say.
@@ -51,6 +64,7 @@
 type Verdict struct {
 	Kind   Kind
 	What   string
+	Word   Word // on a prefix
 	On     bool // false: taken back
 	By     string
 	Reason string
@@ -88,6 +102,7 @@
 type Change struct {
 	Verdict Verdict
 	Holds   bool
+	Left    Micros // for how much longer; 0: until it is taken back
 }
 
 // Table is all verdicts that a member knows.
@@ -149,7 +164,11 @@
 	}
 	*e = entry{Verdict: v, hash: hashOf(&v), born: now - age, held: map[string]bool{}}
 	e.ended = !v.holds(age)
-	t.changes = append(t.changes, Change{Verdict: v, Holds: !e.ended})
+	c := Change{Verdict: v, Holds: !e.ended}
+	if v.Span > 0 {
+		c.Left = max(0, v.Span-age)
+	}
+	t.changes = append(t.changes, c)
 	return true
 }
 
