--- a/balance/balance.go
+++ b/balance/balance.go
@@ -459,8 +459,7 @@
 	switch e.Outcome {
 	case OK:
 		b.vain -= b.vain / vainParts
-	case Cancelled, NotSent:
-	default:
+	case Error, Busy, Spoilt: // silence takes no room that others could have
 		b.vain += (1 - b.vain) / vainParts
 	}
 	switch e.Outcome {
--- a/balance/guards_test.go
+++ b/balance/guards_test.go
@@ -306,6 +306,13 @@
 	if k.b.vain < 0.05 {
 		t.Fatalf("all are full: %.2f held to be in vain", k.b.vain)
 	}
+	// A cut or a lost room is silent: what is sent there takes no room at those that serve, and says nothing of
+	// how much they can take (split+mass: 0.88 of the way while time-outs counted, 0.97 without).
+	quiet := start(t, settings(), ready(4)...)
+	drive(quiet, 60, func(ReplicaID) Outcome { return TimedOut })
+	if quiet.b.vain > 0 {
+		t.Fatalf("all are silent: %.2f held to be in vain", quiet.b.vain)
+	}
 	drive(k, 300, func(ReplicaID) Outcome { return OK })
 	if k.b.vain > 0.01 {
 		t.Fatalf("all is served: %.2f held to be in vain", k.b.vain)
--- a/balance/state.go
+++ b/balance/state.go
@@ -23,7 +23,7 @@
 	refused    int                 // by admission since the last gauge
 	overload   bool                // reported
 	lossShare  float64             // EWMA of attempts that got no timely answer
-	vain       float64             // EWMA of attempts that ended in anything but an answer
+	vain       float64             // EWMA of attempts that were answered, but not served
 	probeAt    Micros
 	probeNext  int // replica that was looked at last
 	cells      [][]*replica
