--- a/internal/kiosk/replay_test.go
+++ b/internal/kiosk/replay_test.go
@@ -66,7 +66,7 @@
 // newNode is a node of the new form that keeps the books and fails in every way.
 func (b *books) newNode(t *testing.T) *standin.GRPCNode {
 	var mu sync.Mutex
-	heads := 0
+	heads, served := 0, 0
 	turn := func(every int) func(int, uint32) bool {
 		return func(int, uint32) bool {
 			mu.Lock()
@@ -78,7 +78,13 @@
 	return standin.NewGRPC(t, standin.NewOptions{Refuse: turn(9), LeaveOut: turn(13)},
 		func(c standin.NewCall) standin.NewDo {
 			b.post(1, c.Key)
+			mu.Lock()
+			served++
+			third := served == 3 // each way to fail has to come, whatever order the draws come in
+			mu.Unlock()
 			switch {
+			case third:
+				return standin.NewDo{Status: "99"}
 			case b.chance(25): // executed, and the answer is lost
 				return standin.NewDo{Silent: true}
 			case b.chance(30):
