Hold one rate over the whole fleet by shares lent for terms

Need: each coordinator divided limits by a fixed number of peers, too small where traffic is uneven, and nothing was stated for what happens in a cut.

internal/quota: each member owns limit / members, never lends a tenth of it, and lends the rest for terms of ten periods. A start waits a term before it uses or lends what its predecessor may have lent; an upgrade leaves the old process the tenth. core.Submit asks before a query is queued, on all fronts; a refusal says when to come back.

Also mended: a test of the upgrade counted the questions before the last one was booked.

--- a/cmd/lapislever/main.go
+++ b/cmd/lapislever/main.go
@@ -202,7 +202,9 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	cfg.JoinFleet(file)
+	if err := cfg.JoinFleet(file); err != nil {
+		return nil, nil, fmt.Errorf("%s: %w", from.fleet, err)
+	}
 	return cfg, fronts, nil
 }
 
--- a/internal/console/fleet.go
+++ b/internal/console/fleet.go
@@ -15,7 +15,7 @@
 var ErrUsage = errors.New("usage")
 
 // calls are all that there are.
-const calls = "members, verdicts, cordon ID, uncordon ID, ban PREFIX, pin PREFIX, lift PREFIX"
+const calls = "members, verdicts, limits, cordon ID, uncordon ID, ban PREFIX, pin PREFIX, lift PREFIX"
 
 // watchEvery is the time between two looks of --watch.
 const watchEvery = time.Second
@@ -66,6 +66,8 @@
 		show = f.members
 	case "verdicts":
 		show = f.verdicts
+	case "limits":
+		show = f.limits
 	case "cordon", "uncordon", "ban", "pin", "lift":
 		if len(words) != 2 {
 			return fmt.Errorf("%w: %s takes one data node's id, or a prefix", ErrUsage, words[0])
@@ -167,6 +169,38 @@
 	return w.Flush()
 }
 
+func (f Fleet) limits(out io.Writer) error {
+	body, err := Call(f.Door, "GET", "/admin/limits", "", nil, 0)
+	if err != nil {
+		return err
+	}
+	if f.JSON {
+		_, err = fmt.Fprintf(out, "%s\n", body)
+		return err
+	}
+	var v struct {
+		Limits []struct {
+			Name               string
+			Limit, Share, Used float64
+			InDoubt            float64 `json:"in_doubt"`
+			Over               float64 `json:"over_at_most"`
+			Stale              int64   `json:"stale_ms"`
+			Refused            int64
+		}
+	}
+	if err := json.Unmarshal(body, &v); err != nil {
+		return fmt.Errorf("the door's answer: %w", err)
+	}
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w,
+		"LIMIT\tA SECOND\tSHARE HERE\tUSED HERE\tLENT OR IN DOUBT\tOVER AT MOST\tOLDEST LOAN\tREFUSED")
+	for _, x := range v.Limits {
+		fmt.Fprintf(w, "%s\t%.4g\t%.4g\t%.4g\t%.4g\t%.4g\t%s\t%d\n", x.Name, x.Limit, x.Share, x.Used, x.InDoubt,
+			x.Over, span(x.Stale), x.Refused)
+	}
+	return w.Flush()
+}
+
 func dash(s string) string {
 	if s == "" {
 		return "-"
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -52,6 +52,7 @@
 	Values     []Value       // in the order of the parts; those that are in
 	RetryAfter time.Duration // of a refusal: when to come back
 	Overdue    bool          // the time was over before there was a decision
+	Why        string        // of a refusal that the module did not make
 	NameTaken  bool          // an open query bears the same name
 }
 
@@ -289,6 +290,9 @@
 	Lister   Lister
 	Log      *slog.Logger
 	Counts   *Counts // where this core's figures go; nil: nowhere
+	// Admit is asked before a query of a class is queued: whether it may be let in, and if not after how long
+	// and why. It is called from any goroutine and must not block. Nil: all may.
+	Admit func(class int) (ok bool, after time.Duration, why string)
 	// Listed is called after the first Step that knew a server.
 	Listed func()
 }
@@ -364,9 +368,16 @@
 	}
 }
 
-// Submit queues a query. It returns false where the queue is full; the query was then not taken.
+// Submit queues a query. It returns false where the queue is full; the query was then not taken. One that a
+// limit turns away has had its final answer by then.
 func (c *Core) Submit(q *Query) bool {
 	c.cfg.Counts.Active.Add(1)
+	if c.cfg.Admit != nil {
+		if ok, after, why := c.cfg.Admit(q.Class); !ok {
+			c.reply(q, Final{Ending: Refused, RetryAfter: after, Why: why})
+			return true
+		}
+	}
 	select {
 	case c.queue <- q:
 		return true
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -41,6 +41,7 @@
 			Period int `toml:"period_ms,omitempty"`
 		} `toml:"detect,omitempty"`
 	} `toml:"fleet"`
+	Limits []Limit `toml:"limit,omitempty"`
 
 	listen netip.AddrPort
 	keys   *keyring
@@ -121,6 +122,13 @@
 	} else {
 		f.Check(loopback, "fleet.keys", "is missing: without it loopback addresses only")
 	}
+	for i := range c.Limits {
+		at := fmt.Sprintf("limit[%d]", i+1)
+		c.Limits[i].check(f, at, c.Size())
+		for _, before := range c.Limits[:i] {
+			f.Check(before.Name != c.Limits[i].Name, at+".name", "%q is there twice", before.Name)
+		}
+	}
 	c.view.Roster, c.view.Most, c.view.Stamp = x.Roster, x.Most, c.stamp()
 	return f.Err()
 }
@@ -151,6 +159,9 @@
 		_, _ = h.WriteString(name + "\n")
 	}
 	_ = binary.Write(h, binary.LittleEndian, int64(c.Fleet.Most))
+	for _, l := range c.Limits {
+		_, _ = fmt.Fprintf(h, "%+v\n", l)
+	}
 	return uint32(h.Sum64()) | 1
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"lapislever/internal/membership"
+	"lapislever/internal/quota"
 	"lapislever/internal/verdict"
 )
 
@@ -34,6 +35,7 @@
 const (
 	toModule  byte = 1 // between the decision modules
 	toVerdict byte = 2 // between the tables of verdicts
+	toQuota   byte = 3 // between the shares of limits
 )
 
 // Status is what the door shows: the form of GET /admin/fleet.
@@ -112,6 +114,7 @@
 	carry    Apply
 	toApply  chan verdict.Change
 	verdicts atomic.Pointer[Verdicts]
+	limits   []*limiter // as the file's order is; fixed
 
 	joined  chan struct{} // closed once this member is one
 	refused chan error    // hears once if this process must not serve
@@ -138,6 +141,7 @@
 	f.verdicts.Store(&Verdicts{Verdicts: []VerdictStatus{}})
 	f.keep.Spreader = verdict.NewSpreader(verdict.NewTable(cfg.Fleet.Name), f.viewConfig().Seed,
 		membership.MostApp)
+	f.openLimits(given != nil)
 	f.show.Store(&Status{Self: cfg.Fleet.Name, Members: []MemberStatus{}})
 	if given == nil {
 		// Without SO_REUSEPORT: a second process of this address is an error, at once.
@@ -170,6 +174,14 @@
 	var v *membership.View
 	var err error
 	f.carry = carry
+	now := f.now()
+	f.each(func(s *quota.Share) {
+		if from != nil {
+			s.Inherit(now, from.Lent[s.Name])
+		} else {
+			s.Alone(now, true)
+		}
+	})
 	if from != nil {
 		for _, x := range from.Verdicts {
 			f.keep.Merge(f.now(), x.Verdict, x.Age)
@@ -230,7 +242,10 @@
 	f.mu.Lock()
 	f.kept = v
 	f.mu.Unlock()
-	return &Handover{View: v.Snapshot(), Verdicts: f.keep.Save(f.now())}
+	h := &Handover{View: v.Snapshot(), Verdicts: f.keep.Save(f.now()), Lent: map[string][]quota.Lend{}}
+	now := f.now()
+	f.each(func(s *quota.Share) { h.Lent[s.Name] = s.Split(now) })
+	return h
 }
 
 // Again goes on after the process that had taken over is gone.
@@ -240,7 +255,9 @@
 	f.kept = nil
 	f.mu.Unlock()
 	if v != nil {
-		v.Again(f.now())
+		now := f.now()
+		f.each(func(s *quota.Share) { s.Alone(now, true) })
+		v.Again(now)
 		f.start(v)
 	}
 }
@@ -294,7 +311,7 @@
 	was, is := &f.cfg.Fleet, &fresh.Fleet
 	for name, differs := range map[string]bool{"fleet.name": was.Name != is.Name,
 		"fleet.zone": was.Zone != is.Zone, "fleet.listen": was.Listen != is.Listen,
-		"fleet.detect": was.Detect != is.Detect} {
+		"fleet.detect": was.Detect != is.Detect, "limit": !slices.Equal(f.cfg.Limits, fresh.Limits)} {
 		if differs {
 			kept = append(kept, name)
 		}
@@ -405,7 +422,7 @@
 func (f *Fleet) carryOut(v *membership.View) (changed bool) {
 	sends, changes, heard := v.Take()
 	for _, h := range heard {
-		f.hear(h)
+		f.hear(v, h)
 	}
 	f.tend(v) // what it says goes out with the rest
 	more, later, _ := v.Take()
@@ -431,10 +448,12 @@
 }
 
 // hear passes on what another member's layer above has to say.
-func (f *Fleet) hear(h membership.Heard) {
+func (f *Fleet) hear(v *membership.View, h membership.Heard) {
 	switch h.Kind {
 	case toVerdict:
 		f.hearVerdict(h)
+	case toQuota:
+		f.hearLimit(v, h)
 	case toModule:
 		f.toldUs.Add(1)
 		select {
--- a/internal/fleet/verdicts.go
+++ b/internal/fleet/verdicts.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lapislever/internal/membership"
+	"lapislever/internal/quota"
 	"lapislever/internal/verdict"
 )
 
@@ -24,8 +25,9 @@
 
 // Handover is what the next process of this member needs.
 type Handover struct {
-	View     membership.Snapshot `json:"view"`
-	Verdicts []verdict.Saved     `json:"verdicts"`
+	View     membership.Snapshot     `json:"view"`
+	Verdicts []verdict.Saved         `json:"verdicts"`
+	Lent     map[string][]quota.Lend `json:"lent"` // of each limit
 }
 
 // Verdicts is the form of GET /admin/verdicts.
@@ -93,13 +95,16 @@
 	if now := f.now(); v.Joined() && now >= k.tickAt {
 		k.tickAt = now + f.cfg.Period().Microseconds()
 		var peers []verdict.Peer
+		var names []string
 		self := v.Self().Name
 		for _, m := range v.Members() {
 			if m.State <= membership.Suspect && m.Name != self {
 				peers = append(peers, verdict.Peer{Name: m.Name, Sum: m.App})
+				names = append(names, m.Name)
 			}
 		}
 		k.Tick(now, peers)
+		f.tendLimits(v, now, names)
 	}
 	sends, changes := k.Take()
 	for _, c := range changes {
--- a/internal/fleetsim/measure_test.go
+++ b/internal/fleetsim/measure_test.go
@@ -63,7 +63,8 @@
 			name  string
 			a     membership.Ablation
 			hours float64
-		}{{", 1% slow", membership.Ablation{}, 0.25}, {", 1% slow, no health", membership.Ablation{Health: true}, 0.25},
+		}{{", 1% slow", membership.Ablation{}, 0.25}, {", 1% slow, no health", membership.Ablation{Health: true},
+			0.25},
 			{", 1% slow, no suspicion", membership.Ablation{Suspicion: true}, 0.01}} {
 			add(named(s.name, func() (Row, error) {
 				return FalseDeaths(with(100, loss, s.a, slow), 2, Micros(s.hours*hour))
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -145,12 +145,19 @@
 
 // JoinFleet has the coordinator take part in a fleet. The module's messages go to its members; one that knows
 // no platform learns from the fleet's file how many of them there may be.
-func (c *Config) JoinFleet(f *fleet.Config) {
+func (c *Config) JoinFleet(f *fleet.Config) error {
+	for i, l := range f.Limits {
+		if !slices.Contains(c.Classes, l.Class) {
+			return fmt.Errorf("limit[%d].class: there is no class %q, only %s", i+1, l.Class,
+				strings.Join(c.Classes, ", "))
+		}
+	}
 	c.Fleet = f
 	c.Module.TellMost = fleet.MostMessage
 	if c.raw == nil {
 		c.Module.Peers, c.Module.Number, c.Module.CanTell = f.Size(), f.Place(), true
 	}
+	return nil
 }
 
 // decode reads one JSON value and no more; numbers stay as they are written.
--- a/internal/platform/fleet.go
+++ b/internal/platform/fleet.go
@@ -139,6 +139,12 @@
 	}
 }
 
+// allow asks the fleet's limits.
+func (k *Coordinator) allow(class int) (bool, time.Duration, string) {
+	ok, after, limit := k.fleet.Allow(k.front.conf.Load().Classes[class])
+	return ok, after, "limit " + limit + " of the fleet"
+}
+
 // Failed hears once why this process must not go on serving.
 func (k *Coordinator) Failed() <-chan error { return k.failed }
 
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -243,7 +243,11 @@
 	case core.Answered:
 		c.reply(Answer(f, c.log))
 	case core.Refused:
-		c.reply(Refusal(f.RetryAfter))
+		r := Refusal(f.RetryAfter)
+		if f.Why != "" {
+			r.Body = []byte("refused for now: " + f.Why + "\n")
+		}
+		c.reply(r)
 	default:
 		status := 502
 		switch {
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -130,6 +130,9 @@
 			return nil, err
 		}
 		conf.Peers = k.fleet
+		if len(cfg.Fleet.Limits) > 0 {
+			conf.Admit = k.allow
+		}
 	}
 	w := &watcher{cfg: cfg, log: log, nodes: k.nodes, post: post, on: make(chan bool, 16),
 		fetch: make(chan struct{}, 16), move: make(chan string), stop: k.stop, whole: make(chan struct{}),
@@ -352,6 +355,14 @@
 	return s, len(s.Missing) == 0, err
 }
 
+// Limits are this member's shares of the fleet's limits; nil where there is no fleet.
+func (d doorState) Limits() any {
+	if d.k.fleet == nil {
+		return nil
+	}
+	return d.k.fleet.Limits()
+}
+
 // gate is a keeper in the door's terms.
 type gate struct{ *lnet.Keeper }
 
--- a/internal/platform/upgrade.go
+++ b/internal/platform/upgrade.go
@@ -532,6 +532,9 @@
 		u.mu.Unlock()
 		u.limit(u.all, true)
 		u.k.log.Info("the old process is gone")
+		if u.k.fleet != nil {
+			u.k.fleet.Alone()
+		}
 	}()
 }
 
--- a/internal/platform/upgrade_test.go
+++ b/internal/platform/upgrade_test.go
@@ -249,9 +249,7 @@
 		}
 	}()
 	k := run(t, cfg)
-	if n := len(asked); n != linkTries {
-		t.Errorf("asked %d times", n)
-	}
+	standin.Until(t, "each question", func() bool { return len(asked) == linkTries })
 	select {
 	case <-k.watcher.whole:
 	default:
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -1,6 +1,7 @@
 package rig
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -42,6 +43,8 @@
 	Nodes   int     // data nodes; they hold the two cells in turn
 	Rate    float64 // queries a second and member
 	Keys    string  // text of the key file; empty: no keys
+	Limits  string  // [[limit]] tables of the fleet's file
+	Most    int     // members that there may be; 0: 64
 	Out     *History
 }
 
@@ -84,6 +87,7 @@
 	up         atomic.Bool
 	downs      atomic.Int64 // times that it was killed, stopped or ended
 	view       atomic.Pointer[View]
+	Mute       atomic.Bool // no queries of its own clients
 }
 
 // View is what a member's door says of the fleet.
@@ -352,7 +356,8 @@
 func (m *Member) write(edit ...string) (env []string, err error) {
 	r := m.rig
 	var fleet strings.Builder
-	fmt.Fprintf(&fleet, "[fleet]\nname = %q\nzone = %q\nlisten = %q\nmost = 64\n", m.Name, m.Zone, m.fleetAddr())
+	fmt.Fprintf(&fleet, "[fleet]\nname = %q\nzone = %q\nlisten = %q\nmost = %d\n", m.Name, m.Zone, m.fleetAddr(),
+		cmp.Or(r.cfg.Most, 64))
 	var join, routes []string
 	for _, o := range r.members {
 		if o != m {
@@ -371,6 +376,7 @@
 	}
 	fmt.Fprintf(&fleet, "[fleet.route]\n%s\n[fleet.detect]\nperiod_ms = %d\n", strings.Join(routes, "\n"),
 		r.cfg.Period.Milliseconds())
+	fleet.WriteString(r.cfg.Limits)
 	text := strings.NewReplacer(edit...).Replace(fleet.String())
 	if err := os.WriteFile(m.file("fleet.toml"), []byte(text), 0o600); err != nil {
 		return nil, err
@@ -577,7 +583,7 @@
 		case <-tick.C:
 		}
 		v := m.View()
-		if v == nil || m.rig.quiet.Load() {
+		if v == nil || m.rig.quiet.Load() || m.Mute.Load() {
 			continue
 		}
 		out.Add(1)
--- /dev/null
+++ b/internal/rig/limit_test.go
@@ -0,0 +1,160 @@
+package rig
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+const (
+	limitRate  = 30.0
+	limitBurst = 6.0
+	// jitter is how much longer one query may be on its way to a data node than another one: so much longer a
+	// window at the nodes may be than that at the coordinators.
+	jitter = 400.0 // ms
+)
+
+const aLimit = "[[limit]]\nname = \"rates\"\nclass = \"rate-check\"\nrate = 30.0\nburst = 6.0\n"
+
+// letIn are the moments, in ms, at which a query of the limited class first reached a data node.
+func letIn(r *Rig) (at []float64) {
+	seen := map[string]bool{}
+	for _, e := range r.History.Events() {
+		id, _, _ := strings.Cut(e.Query, ".")
+		var n int
+		_, _ = fmt.Sscanf(id, "q%d", &n)
+		if e.Kind == KindPart && n%2 == 0 && !seen[id] {
+			seen[id] = true
+			at = append(at, e.MS)
+		}
+	}
+	return at
+}
+
+// overLimit names the first window in which more reached the data nodes than the limit and its bound allow.
+func overLimit(at []float64) string {
+	for _, span := range []float64{500, 1000, 3000, 10000} {
+		first := 0
+		for i, t := range at {
+			for at[first] <= t-span {
+				first++
+			}
+			if n, most := float64(i-first+1), limitRate*(span+jitter)/1000+limitBurst; n > most {
+				return fmt.Sprintf("%.0f in %.0f ms up to %.0f, where %.0f may be", n, span, t, most)
+			}
+		}
+	}
+	return ""
+}
+
+// share is what a member's door says of the limit.
+func (m *Member) share() (share, inDoubt float64) {
+	reply, err := m.Call("GET", "/admin/limits", "")
+	if err != nil || reply.Status != 200 {
+		return -1, 0
+	}
+	var v struct {
+		Limits []struct {
+			Share   float64
+			InDoubt float64 `json:"in_doubt"`
+		}
+	}
+	if json.Unmarshal(reply.Body, &v) != nil || len(v.Limits) != 1 {
+		return -1, 0
+	}
+	return v.Limits[0].Share, v.Limits[0].InDoubt
+}
+
+// One limit over three processes: all traffic at one of them gets nine tenths of it within 3 s, a lender
+// that is killed and started anew at once does not lend twice, a cut leaves each its own, an upgrade in
+// the middle is one member, a stop longer than a term is waited out; and in no window does more reach the
+// data nodes than the limit.
+func TestOneLimitOverThreeProcesses(t *testing.T) {
+	r := open(t, Config{Members: 3, Seed: 51, Rate: 100, Limits: aLimit, Most: 3})
+	awaitSettled(t, r, "start")
+	a, b, c := r.Member("m00"), r.Member("m01"), r.Member("m02")
+	b.Mute.Store(true)
+	c.Mute.Store(true)
+	if !within(patience, func() bool { s, _ := a.share(); return s > 0.9*limitRate }) {
+		s, _ := a.share()
+		t.Fatalf("all traffic is at one member, and it has %.1f of %.1f", s, limitRate)
+	}
+	from := r.History.now()
+	time.Sleep(3 * time.Second)
+	n := 0
+	for _, at := range letIn(r) {
+		if at >= from && at < from+3000 {
+			n++
+		}
+	}
+	if float64(n) < 0.85*limitRate*3 {
+		t.Errorf("%d let in within 3 s, of %.0f", n, limitRate*3)
+	}
+	// A lender dies, is back at once and wants its own.
+	b.Kill()
+	if err := b.Start(); err != nil {
+		t.Fatal(err)
+	}
+	b.Mute.Store(false)
+	c.Mute.Store(false)
+	time.Sleep(20 * period)
+	// Each alone, and whole again.
+	r.cut([][]string{{"m00"}, {"m01"}, {"m02"}}, false, Fault{})
+	time.Sleep(25 * period)
+	for _, m := range r.Members() {
+		if s, _ := m.share(); s < 0.9*limitRate/3 {
+			t.Errorf("%s is cut off and has %.1f of its %.1f", m.Name, s, limitRate/3)
+		}
+	}
+	r.Between(Fault{Loss: 0.3, Twice: 0.3, Reorder: 0.3})
+	a.Mute.Store(true)
+	time.Sleep(10 * period)
+	if err := c.Upgrade(); err != nil {
+		t.Fatal(err)
+	}
+	a.Mute.Store(false)
+	b.Stop()
+	time.Sleep(15 * period) // longer than a term
+	b.Cont()
+	time.Sleep(10 * period)
+	r.quiet.Store(true)
+	if !within(patience, func() bool { return r.Open() == 0 }) {
+		t.Fatal("queries without an answer")
+	}
+	at := letIn(r)
+	if over := overLimit(at); over != "" {
+		t.Error(over)
+	}
+	refused := 0
+	for _, e := range r.History.Events() {
+		if e.Kind == KindAnswer && e.Status == 503 {
+			refused++
+		}
+	}
+	if refused == 0 {
+		t.Error("nothing was refused: the limit was never met")
+	}
+	for _, f := range Check(r.History.Events(), false) {
+		t.Error(f)
+	}
+	t.Logf("%d let in within %.0f s, %d refused", len(at), r.History.now()/1000, refused)
+}
+
+// The check of windows finds what is over.
+func TestTheLimitCheckFinds(t *testing.T) {
+	var at []float64
+	for i := range 400 {
+		at = append(at, float64(i)*1000/limitRate)
+	}
+	if over := overLimit(at); over != "" {
+		t.Error(over)
+	}
+	for i := range at {
+		at[i] *= 0.7
+	}
+	if overLimit(at) == "" {
+		t.Error("four tenths too many are not found")
+	}
+}
