--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -116,6 +116,10 @@
 	verdicts atomic.Pointer[Verdicts]
 	limits   []*limiter // as the file's order is; fixed
 
+	conf       atomic.Pointer[Config] // in force
+	turnedDown int64                  // the view's owner's: times that others turned us down
+	turnedAt   membership.Micros      // and when that last grew
+
 	joined  chan struct{} // closed once this member is one
 	refused chan error    // hears once if this process must not serve
 }
@@ -136,6 +140,7 @@
 		calls: make(chan func(*membership.View)), heard: make(chan membership.Heard, heardSize),
 		closed: make(chan struct{}), joined: make(chan struct{}), refused: make(chan error, 1)}
 	f.keys.Store(cfg.keys)
+	f.conf.Store(cfg)
 	f.alive.Store(&[]string{})
 	f.toApply = make(chan verdict.Change, mostPending)
 	f.verdicts.Store(&Verdicts{Verdicts: []VerdictStatus{}})
@@ -311,13 +316,14 @@
 	was, is := &f.cfg.Fleet, &fresh.Fleet
 	for name, differs := range map[string]bool{"fleet.name": was.Name != is.Name,
 		"fleet.zone": was.Zone != is.Zone, "fleet.listen": was.Listen != is.Listen,
-		"fleet.detect": was.Detect != is.Detect, "limit": !slices.Equal(f.cfg.Limits, fresh.Limits)} {
+		"fleet.detect": was.Detect != is.Detect, "limit": !sameLimits(f.cfg.Limits, fresh.Limits)} {
 		if differs {
 			kept = append(kept, name)
 		}
 	}
 	slices.Sort(kept)
 	f.keys.Store(fresh.keys)
+	f.conf.Store(fresh)
 	f.ask(func(v *membership.View) bool { v.Configure(fresh.view); return true }, time.Second)
 	return kept
 }
--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -4,6 +4,8 @@
 // internal/quota.
 
 import (
+	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +14,7 @@
 	"lapislever/internal/membership"
 	"lapislever/internal/quota"
 	"lapislever/internal/settings"
+	"lapislever/internal/verdict"
 )
 
 // Limit is a limit of the file.
@@ -56,6 +59,8 @@
 	mu    sync.Mutex // guards share
 	share *quota.Share
 	class string
+
+	saidAt membership.Micros // the view's owner's: when this member last told what its file says
 }
 
 // openLimits makes the shares. Those of a process that takes over are nothing until it has been told.
@@ -105,8 +110,69 @@
 	}
 }
 
+// mostDiffer is for how many periods being turned down by somebody counts.
+const mostDiffer = 10
+
+// sayAgain is after how long a member tells its settings anew; they end after twice that, as it may be gone.
+const sayAgain = time.Hour
+
+// agree has the strictest of what the members that are alive say of each limit hold here, and tells them what
+// is said here.
+func (f *Fleet) agree(v *membership.View, now membership.Micros, peers []string) {
+	if n := v.Figures().TurnedDown; n != f.turnedDown {
+		f.turnedDown, f.turnedAt = n, now
+	}
+	void := f.turnedDown > 0 && now-f.turnedAt < mostDiffer*f.cfg.Period().Microseconds()
+	conf := f.conf.Load()
+	for _, l := range f.limits {
+		own, ok := conf.limit(l.share.Name)
+		if !ok {
+			continue // its last word holds until a restart
+		}
+		text := fmt.Sprintf("%g %g %d", own.Rate, own.Burst, conf.Size())
+		key := "limit." + l.share.Name
+		said, self := f.keep.Settings(now, key), f.cfg.Fleet.Name
+		if said[self] != text || now-l.saidAt > sayAgain.Microseconds() {
+			l.saidAt = now
+			what := verdict.Verdict{Kind: verdict.Setting, What: key + "@" + self, On: true, Reason: text,
+				Span: 2 * sayAgain.Microseconds()}
+			if _, err := f.keep.Say(now, time.Now().UnixMilli(), what); err != nil {
+				f.log.Warn("the others are not told of a limit", "limit", l.share.Name, "err", err)
+			}
+		}
+		rate, burst, members := own.Rate, own.Burst, conf.Size()
+		for _, who := range peers {
+			var r, b float64
+			var n int
+			if k, _ := fmt.Sscanf(said[who], "%g %g %d", &r, &b, &n); k == 3 && r > 0 && b > 0 && n > 0 {
+				rate, burst, members = min(rate, r), min(burst, b), max(members, n)
+			}
+		}
+		l.mu.Lock()
+		l.share.Configure(now, rate, burst, members)
+		l.share.Void(now, void)
+		l.mu.Unlock()
+	}
+}
+
+// limit is a limit of the file by its name.
+func (c *Config) limit(name string) (Limit, bool) {
+	for _, l := range c.Limits {
+		if l.Name == name {
+			return l, true
+		}
+	}
+	return Limit{}, false
+}
+
+// sameLimits tells that two files have the same limits, whatever their figures.
+func sameLimits(a, b []Limit) bool {
+	return slices.EqualFunc(a, b, func(x, y Limit) bool { return x.Name == y.Name && x.Class == y.Class })
+}
+
 // tendLimits has the shares look once a period whom to ask.
 func (f *Fleet) tendLimits(v *membership.View, now membership.Micros, peers []string) {
+	f.agree(v, now, peers)
 	f.each(func(s *quota.Share) {
 		for _, m := range s.Tick(now, peers) {
 			v.Say(m.To, toQuota, m.Data)
--- a/internal/fleet/verdicts.go
+++ b/internal/fleet/verdicts.go
@@ -108,6 +108,11 @@
 	}
 	sends, changes := k.Take()
 	for _, c := range changes {
+		if c.Verdict.Kind == verdict.Setting { // there is nothing to carry out
+			k.Applied(c.Verdict)
+			k.Push(f.now(), c.Verdict)
+			continue
+		}
 		f.log.Info("fleet verdict", "kind", c.Verdict.String(), "what", c.Verdict.What, "holds", c.Holds,
 			"by", c.Verdict.By, "at", c.Verdict.Member, "reason", c.Verdict.Reason)
 		k.Push(f.now(), c.Verdict)
@@ -116,7 +121,11 @@
 	for _, s := range append(sends, more...) {
 		v.Say(s.To, toVerdict, s.Data)
 	}
-	k.pending = append(k.pending, changes...)
+	for _, c := range changes {
+		if c.Verdict.Kind != verdict.Setting {
+			k.pending = append(k.pending, c)
+		}
+	}
 	for len(k.pending) > 0 {
 		select {
 		case f.toApply <- k.pending[0]:
@@ -141,6 +150,9 @@
 	now, wall := f.now(), time.Now().UnixMilli()
 	out := &Verdicts{Verdicts: []VerdictStatus{}, Told: f.keep.Told()}
 	for _, l := range f.keep.Lines(now) {
+		if l.Kind == verdict.Setting {
+			continue
+		}
 		out.Verdicts = append(out.Verdicts, f.status(l, alive, wall))
 	}
 	f.verdicts.Store(out)
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -302,7 +302,10 @@
 	if old := v.find(r.name); old != nil && !r.above(&old.record) {
 		return
 	}
-	if m := v.set(r, 0); m != nil {
+	m := v.set(r, 0)
+	if m == nil { // there is no room: it must not count on being one of us
+		v.send(v.to(r.name, r.addr), v.begin(kindTurned), false)
+	} else {
 		m.window.fresh(seq)
 		v.news.add(entry{record: r, full: true})
 		v.openSync(m)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -59,6 +59,7 @@
 	rng     *rand.PCG
 
 	usable  Micros  // from then on the whole share is
+	void    bool    // nothing is
 	part    float64 // of the share that is this process's: an upgrade leaves a part to another one
 	lent    []loan
 	in      []loan
@@ -110,6 +111,9 @@
 		s.change = min(s.change, s.lent[i].until)
 	}
 	s.own = max(0, s.own)
+	if s.void {
+		s.own, s.in = 0, nil
+	}
 	s.rate = s.own
 	for i := range s.in {
 		s.rate += s.in[i].rate
@@ -191,6 +195,9 @@
 	s.pending = slices.DeleteFunc(s.pending, func(l loan) bool { return now-l.asked > 2*s.period })
 	want := min(s.Rate, s.demand*spare)
 	lacks := want - s.rate
+	if s.void {
+		return nil
+	}
 	if s.idle++; len(s.in) == 0 || s.rate-s.in[0].rate < want {
 		s.idle = 0
 	}
@@ -292,7 +299,7 @@
 
 // lendable is what a member can spare.
 func (s *Share) lendable(now Micros) float64 {
-	if now < s.usable && !s.Forget {
+	if s.void || now < s.usable && !s.Forget {
 		return 0
 	}
 	keep := max(Kept*s.share(), min(s.share(), s.demand*spare))
@@ -350,6 +357,30 @@
 	s.settle(now)
 }
 
+// Configure takes in another rate and burst, and another number of members. What is lent stays lent: where
+// the new share is less than that, it is over by as much until the loans end, a term at most.
+func (s *Share) Configure(now Micros, rate, burst float64, members int) {
+	if rate == s.Rate && burst == s.Burst && members == s.members {
+		return
+	}
+	s.refill(now)
+	s.Rate, s.Burst, s.members = rate, burst, members
+	s.settle(now)
+}
+
+// Void leaves this member nothing while others turn it down: they do not count on it. Afterwards it waits as
+// after a start.
+func (s *Share) Void(now Micros, on bool) {
+	if on == s.void {
+		return
+	}
+	s.refill(now)
+	if s.void = on; !on {
+		s.usable = max(s.usable, now+span(s.period, 1+3*Drift))
+	}
+	s.settle(now)
+}
+
 // Hold leaves this process nothing until Inherit or Alone: another one of this member has all.
 func (s *Share) Hold(now Micros) {
 	s.refill(now)
--- a/internal/rig/limit_test.go
+++ b/internal/rig/limit_test.go
@@ -158,3 +158,77 @@
 		t.Error("four tenths too many are not found")
 	}
 }
+
+// shown is what a member's door says that the limit is, and its share.
+func (m *Member) shown() (limit, share float64) {
+	reply, err := m.Call("GET", "/admin/limits", "")
+	if err != nil || reply.Status != 200 {
+		return -1, -1
+	}
+	var v struct {
+		Limits []struct{ Limit, Share float64 }
+	}
+	if json.Unmarshal(reply.Body, &v) != nil || len(v.Limits) != 1 {
+		return -1, -1
+	}
+	return v.Limits[0].Limit, v.Limits[0].Share
+}
+
+// While limits differ, as in a roll-out, the stricter one holds at all, and the door shows who differs; the
+// greater one holds once all have it. Who is turned down because there is no room has nothing.
+func TestTheStricterLimitHoldsInARollOut(t *testing.T) {
+	r := open(t, Config{Members: 3, Seed: 52, Limits: aLimit, Most: 3})
+	awaitSettled(t, r, "start")
+	all := func(want float64) func() bool {
+		return func() bool {
+			for _, m := range r.Members()[:3] {
+				if limit, share := m.shown(); limit != want || share > want/3 {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	change := func(m *Member, to string) {
+		t.Helper()
+		if err := m.Rewrite("rate = 30.0", to); err != nil {
+			t.Fatal(err)
+		}
+		m.Hup()
+	}
+	if !within(patience, all(30)) {
+		t.Fatal("not 30 everywhere")
+	}
+	change(r.Member("m01"), "rate = 15.0")
+	if !within(sayLimit(3)+2*period+2*pollEvery, all(15)) {
+		t.Fatal("the stricter one does not hold everywhere in time")
+	}
+	if !within(patience, func() bool { return len(r.Member("m00").View().Figures.Differ) == 1 }) {
+		t.Error("it is not shown who differs")
+	}
+	for _, name := range []string{"m01", "m00"} {
+		change(r.Member(name), "rate = 60.0")
+	}
+	time.Sleep(10 * period)
+	if !all(30)() {
+		t.Error("the greater one holds before all have it")
+	}
+	change(r.Member("m02"), "rate = 60.0")
+	if !within(patience, all(60)) {
+		t.Error("all have it, and it does not hold")
+	}
+	extra, err := r.Add()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := extra.Start(); err != nil {
+		t.Fatal(err)
+	}
+	if !within(patience, func() bool { limit, _ := extra.shown(); return limit > 0 }) {
+		t.Fatal("the fourth one does not serve")
+	}
+	time.Sleep(5 * period)
+	if _, share := extra.shown(); share != 0 {
+		t.Errorf("a member for which there is no room has %.1f", share)
+	}
+}
--- a/internal/verdict/spread.go
+++ b/internal/verdict/spread.go
@@ -242,7 +242,7 @@
 	v.Stamp = r.u64()
 	a, span := r.u64(), r.u64()
 	v.What, v.Member, v.By, v.Reason = r.text(MaxWhat), r.text(maxMember), r.text(MaxBy), r.text(MaxReason)
-	r.bad = r.bad || v.Word > Pin || v.Kind < Node || v.Kind > Prefix || v.What == "" || a > ageMost ||
+	r.bad = r.bad || v.Word > Pin || v.Kind < Node || v.Kind > Setting || v.What == "" || a > ageMost ||
 		span > ageMost
 	v.Span = Micros(span)
 	return v, Micros(a)
--- a/internal/verdict/table.go
+++ b/internal/verdict/table.go
@@ -19,7 +19,7 @@
 // Bounds of a table.
 const (
 	Most       = 4096 // entries, tombstones among them
-	MaxWhat    = 80   // bytes of a name
+	MaxWhat    = 96   // bytes of a name
 	MaxBy      = 32
 	MaxReason  = 56
 	KeepEnded  = 3600 * 1_000_000 // us that an entry is kept after its end
@@ -33,6 +33,8 @@
 const (
 	Node   Kind = 1 + iota // a data node, by discovery's id
 	Prefix                 // of clients' addresses
+	// Setting is a member's own settings of something that all have: What is NAME@MEMBER, Reason the text.
+	Setting
 )
 
 // Word is what a verdict on a prefix says.
@@ -50,6 +52,8 @@
 		return "prefix_pinned"
 	case v.Kind == Prefix:
 		return "prefix_banned"
+	case v.Kind == Setting:
+		return "setting"
 	}
 	return "node_out"
 }
@@ -273,6 +277,18 @@
 	return out
 }
 
+// Settings are what members have said of a thing of theirs, by member.
+func (t *Table) Settings(now Micros, name string) map[string]string {
+	out := map[string]string{}
+	for _, e := range t.entries {
+		if what, by, ok := strings.Cut(e.What, "@"); ok && e.Kind == Setting && what == name &&
+			by == e.Member && e.holds(now-e.born) {
+			out[by] = e.Reason
+		}
+	}
+	return out
+}
+
 // Line is the entry on a thing, in force or not.
 func (t *Table) Line(now Micros, kind Kind, what string) (Line, bool) {
 	i, ok := t.find(&Verdict{Kind: kind, What: what})
