Keep doubt from becoming a load, and the untold from telling each other

A metastable state of the protocol's own making: internal/membership/probe.go, watch and lookAt.

A doubt is private for its first period now, and calls others only once it is public; watches together send 72 datagrams a period at most, and a vote takes two probes for each period of silence; a member whose own ticks come late gives that time back to those it watches and holds itself to be less sound.

Also found: of five that started at once after a kill two held each other to be told, with empty tables. Who has not been told announces just that.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -61,7 +61,7 @@
 	admitTail              = 2.6        // times the share, of the time to the aim, for the last needed part
 	hopeShare              = 1.0        // of the time to the aim that a part may be expected to take
 	vainParts              = 60.0       // parts over which the share of those sent in vain is taken
-	vainCut, vainMost      = 2.0, 0.4   // times that share comes off the admitted one, and at the most
+	vainCut, vainMost      = 3.0, 0.5   // times that share comes off the admitted one, and at the most
 	admitQuantile          = 0.8        // of the needed parts: of few the slowest, of many not the odd one
 	overPart, farOver      = 1.2, 1.8   // times its part of the quotas that a tenant has of the traffic here
 	quotaLeast             = 8.0        // queries of a tenant that tell of its part
--- a/internal/fleet/verdicts.go
+++ b/internal/fleet/verdicts.go
@@ -135,7 +135,7 @@
 		}
 		break
 	}
-	v.Tell(k.Digest())
+	v.Tell(k.Announce())
 }
 
 // hearVerdict takes in another member's message on verdicts.
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -12,6 +12,9 @@
 // keepProbes is for how many periods an answer to a probe still counts as one.
 const keepProbes = 10
 
+// triesLeast is how many probes a watcher must have sent for each period of silence.
+const triesLeast = 2
+
 // mostProbes bounds the probes that are kept.
 const mostProbes = 1024
 
@@ -19,9 +22,12 @@
 func (v *View) Tick(now Micros) {
 	step := v.cfg.Period / slots
 	v.now = max(v.now, now)
-	if gap := v.now - v.slotAt; gap > v.cfg.Period {
-		v.stalled(gap)
+	switch late := v.now - v.slotAt; {
+	case late > v.cfg.Period:
+		v.stalled(late)
 		v.slotAt = v.now
+	case late > step/2 && !v.cfg.Ablate.Health:
+		v.lagged(late)
 	}
 	for v.slotAt <= v.now {
 		v.slotAt += step
@@ -49,6 +55,25 @@
 	}
 }
 
+// lagged gives back what this process was late by: it could not have heard others meanwhile. One that is late
+// by more than a slot holds itself to be less sound.
+func (v *View) lagged(late Micros) {
+	for i := range v.watches {
+		w := &v.watches[i]
+		if m := v.births[w.birth]; m != nil {
+			w.since = max(w.since, m.acked) + late
+		}
+	}
+	for i := range v.probes {
+		if v.probes[i].round {
+			v.probes[i].grace += late
+		}
+	}
+	if late > v.cfg.Period/slots {
+		v.fare(+1)
+	}
+}
+
 // rejoin forgets everybody and asks anew, those that were known too.
 func (v *View) rejoin() {
 	v.figures.Rejoins++
@@ -78,7 +103,7 @@
 func (v *View) act() {
 	first := v.slot == 0
 	if first {
-		v.syncLeft = syncMost
+		v.syncLeft, v.extra = syncMost, extraMost
 		v.callClaim()
 	}
 	if v.joining {
@@ -99,7 +124,11 @@
 		v.callTheDead()
 		v.pushBacklog()
 	}
-	if busy := slices.ContainsFunc(v.watches, func(w watch) bool { return !w.agree }); first || busy {
+	busy := slices.ContainsFunc(v.watches, func(w watch) bool {
+		m := v.births[w.birth]
+		return !w.agree && m != nil && m.suspect
+	})
+	if first || busy {
 		v.probeNext()
 	}
 	for i := 0; i < len(v.probes); i++ {
@@ -109,8 +138,11 @@
 			}
 		}
 	}
-	for i := 0; i < len(v.watches); i++ {
-		v.lookAt(&v.watches[i])
+	if n := len(v.watches); n > 0 {
+		first := v.rand(n) // so that where the budget is short each has its turn
+		for i := range n {
+			v.lookAt(&v.watches[(first+i)%n])
+		}
 	}
 }
 
@@ -118,7 +150,7 @@
 func (v *View) judge() {
 	for i := 0; i < len(v.probes); i++ {
 		p := &v.probes[i]
-		if p.round && v.now-p.sent >= v.cfg.Period {
+		if p.round && v.now-p.sent >= v.cfg.Period+p.grace {
 			p.round = false
 			v.failed(*p)
 		}
@@ -188,9 +220,6 @@
 	}
 	v.counted = false
 	v.watches = append(v.watches, watch{birth: m.birth, since: since, agree: agree, helper: v.rand(1 << 16)})
-	if !agree {
-		v.tellWatchers(m)
-	}
 	v.lookAt(&v.watches[len(v.watches)-1])
 }
 
@@ -203,12 +232,16 @@
 // lookAt sends a watch's probes of this slot.
 func (v *View) lookAt(w *watch) {
 	m := v.births[w.birth]
-	if m == nil {
+	if m == nil || v.extra <= 0 {
 		return
 	}
+	w.tries++
+	v.extra--
 	id := v.ping(m, false)
-	if v.slot != 0 && !(w.agree && v.slot > 1) {
-		w.helper += v.askHelpers(id, m, w.helper)
+	if v.slot != 0 && !(w.agree && v.slot > 1) && v.extra > 0 {
+		n := v.askHelpers(id, m, w.helper)
+		w.helper += n
+		v.extra -= n
 	}
 }
 
@@ -221,8 +254,9 @@
 		if silent >= v.factor(2) && !m.suspect {
 			v.doubt(m, true)
 			v.news.add(entry{record: m.record, what: isSuspect})
+			v.tellWatchers(m)
 		}
-		if !w.voted && silent >= v.factor(Silence(quorum)) {
+		if !w.voted && silent >= v.factor(Silence(quorum)) && w.tries >= triesLeast*int(Silence(quorum)) {
 			w.voted = true
 			v.figures.Votes++
 			e := entry{record: m.record, what: isVote, votes: []uint32{uint32(v.self.birth & lowBits)}}
@@ -233,11 +267,11 @@
 			}
 			return // counted by vote; the watch may be gone
 		}
-		if v.slot == 0 && !w.voted {
+		if v.slot == 0 && m.suspect && !w.voted {
 			v.tellWatchers(m)
 		}
 	}
-	if len(m.votes) >= quorum && (w.voted || silent >= v.factor(1)) {
+	if len(m.votes) >= quorum && (w.voted || silent >= v.factor(1) && w.tries >= triesLeast) {
 		v.declare(m)
 	}
 }
@@ -348,6 +382,10 @@
 // tellWatchers has those who stand first for a subject watch it too.
 func (v *View) tellWatchers(m *member) {
 	for _, w := range v.watchersOf(m) {
+		if v.extra <= 0 {
+			return
+		}
+		v.extra--
 		b, _ := put(v.begin(kindAccuse), entry{record: m.record, what: isSuspect})
 		v.sendTo(w, b, true)
 	}
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -19,10 +19,10 @@
 func (v *View) Receive(now Micros, data []byte) {
 	v.Tick(now)
 	v.figures.Received++
-	r := reader{b: data}
+	r := read(data)
 	h := r.head()
 	switch {
-	case r.bad || h.inc > incMost:
+	case r.Bad || h.inc > incMost:
 		v.drop(Malformed)
 		return
 	case h.birth == v.self.birth:
@@ -30,7 +30,7 @@
 		return
 	}
 	msg := v.parse(h, &r)
-	if r.bad {
+	if r.Bad {
 		v.drop(Malformed)
 		return
 	}
@@ -62,34 +62,34 @@
 func (v *View) parse(h head, r *reader) (m message) {
 	switch h.kind {
 	case kindPing:
-		m.id, m.birth = r.u32(), r.u64()
+		m.id, m.birth = r.U32(), r.U64()
 	case kindAck, kindNack, kindJoin, kindWelcome:
-		m.id = r.u32()
+		m.id = r.U32()
 	case kindAsk, kindReached:
-		m.id, m.birth, m.inc = r.u32(), r.u64(), r.u32()
+		m.id, m.birth, m.inc = r.U32(), r.U64(), r.U32()
 	case kindSums:
-		m.depth, m.prefix = int(r.u8()), r.u32()
+		m.depth, m.prefix = int(r.U8()), r.U32()
 		for i := range m.sums {
-			m.sums[i] = r.u32()
+			m.sums[i] = r.U32()
 		}
 	case kindRecords:
-		m.depth, m.prefix, m.back = int(r.u8()), r.u32(), r.u8() == 1
+		m.depth, m.prefix, m.back = int(r.U8()), r.U32(), r.U8() == 1
 	case kindWant:
-		for len(r.b) > 0 && !r.bad {
-			m.births = append(m.births, r.u64())
+		for len(r.B) > 0 && !r.Bad {
+			m.births = append(m.births, r.U64())
 		}
 	case kindClaim:
-		m.addr, m.inc, m.hops = r.addr(), r.u32(), r.u8()
+		m.addr, m.inc, m.hops = r.addr(), r.U32(), r.U8()
 	case kindVerdict:
-		m.addr, m.hops, m.birth, m.other = r.addr(), r.u8(), r.u64(), r.u64()
+		m.addr, m.hops, m.birth, m.other = r.addr(), r.U8(), r.U64(), r.U64()
 	case kindApp:
-		m.app = r.u8()
-		m.data, r.b = r.b, nil
+		m.app = r.U8()
+		m.data, r.B = r.B, nil
 	}
-	r.bad = r.bad || m.depth > treeDepth || m.inc > incMost
+	r.Bad = r.Bad || m.depth > treeDepth || m.inc > incMost
 	m.entries = r.entries()
 	for i := range m.entries {
-		r.bad = r.bad || m.entries[i].inc > incMost
+		r.Bad = r.Bad || m.entries[i].inc > incMost
 	}
 	return m
 }
@@ -112,12 +112,9 @@
 	}
 	m.stamp, m.app = h.stamp, h.app
 	if h.inc > m.inc && h.kind != kindClaim && h.kind != kindVerdict { // it has heard of an accusation
-		r := m.record
-		r.inc, r.state = h.inc, Alive
-		if m = v.set(r, 0); m == nil {
+		if m = v.revive(m, h.inc); m == nil {
 			return
 		}
-		v.news.add(entry{record: r, full: true})
 	}
 	if m.state != Alive {
 		v.fromGone(m, h, msg)
@@ -178,6 +175,16 @@
 	}
 }
 
+// revive takes in that a member is alive in a later incarnation, and passes that on.
+func (v *View) revive(m *member, inc uint32) *member {
+	r := m.record
+	r.inc, r.state = inc, Alive
+	if m = v.set(r, 0); m != nil {
+		v.news.add(entry{record: r, full: true})
+	}
+	return m
+}
+
 // fromGone answers one that is dead here, or has left. What it says of others is not taken in: it may be
 // deaf, and know nothing of what it is accused of. What it says of this member counts: where each holds the
 // other to be dead, one of the two has to begin.
@@ -413,12 +420,9 @@
 	v.probes = slices.Delete(v.probes, i, i+1)
 	s.helper = by.birth
 	if msg.inc > s.inc {
-		r := s.record
-		r.inc, r.state = msg.inc, Alive
-		if s = v.set(r, 0); s == nil {
+		if s = v.revive(s, msg.inc); s == nil {
 			return
 		}
-		v.news.add(entry{record: r, full: true})
 	}
 	met := s.met
 	v.evidence(s, p)
@@ -460,11 +464,7 @@
 	switch e.what {
 	case isAlive:
 		if e.inc > m.inc {
-			r := m.record
-			r.inc, r.state = e.inc, Alive
-			if m = v.set(r, 0); m != nil {
-				v.news.add(entry{record: r, full: true})
-			}
+			v.revive(m, e.inc)
 		}
 	case isSuspect:
 		if e.inc == m.inc && m.state == Alive && !m.suspect {
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -42,8 +42,9 @@
 	helpersMost = 3  // asked at a time to probe somebody
 	watchers    = 5  // that are told of a silent member, by rendezvous hashing
 	votesMost   = 3  // that a death may take
-	watchMost   = 16 // watched at a time on own evidence,
-	agreeMost   = 32 // and with those that others' votes are looked after
+	watchMost   = 8  // watched at a time on own evidence,
+	agreeMost   = 24 // and with those that others' votes are looked after
+	extraMost   = 72 // datagrams a period for all watches together: doubt must not become a load of its own
 	healthMost  = 8
 	newsFactor  = 3  // each news goes out so many times log2(n+1) times
 	syncMost    = 32 // datagrams a period
@@ -221,6 +222,7 @@
 	birth  uint64
 	sent   Micros
 	round  bool   // of the round: its failure counts
+	grace  Micros // by which this process was late since
 	asked  int    // helpers
 	nacked int    // of them, those that could not reach it either
 	origin uint64 // who asked us to, if not we
@@ -233,6 +235,7 @@
 	since  Micros // silence counts from here
 	agree  bool   // others have voted: this only looks whether it is so
 	voted  bool
+	tries  int // probes sent
 	helper int // turn of the helpers
 }
 
@@ -277,6 +280,7 @@
 	syncAt   Micros
 	syncFrom Micros
 	syncLeft int
+	extra    int // datagrams that watches may still send in this period
 	joining  bool
 	joinIDs  [2]uint32 // numbers of the calls of this period and the one before
 	joinAt   Micros
--- a/internal/membership/wire.go
+++ b/internal/membership/wire.go
@@ -6,6 +6,8 @@
 import (
 	"encoding/binary"
 	"net/netip"
+
+	"lapislever/internal/datagram"
 )
 
 // MaxPlain is the most that a datagram holds before it is sealed, so that 256 bytes are never passed: the
@@ -117,82 +119,58 @@
 	return b
 }
 
-// reader takes a datagram apart. Past the end it fails and gives zeroes.
-type reader struct {
-	b   []byte
-	bad bool
-}
+// reader takes a datagram apart.
+type reader struct{ datagram.Reader }
 
-func (r *reader) take(n int) []byte {
-	if n > len(r.b) {
-		r.bad, r.b = true, nil
-		return make([]byte, n)
-	}
-	x := r.b[:n]
-	r.b = r.b[n:]
-	return x
-}
-
-func (r *reader) u8() byte    { return r.take(1)[0] }
-func (r *reader) u16() uint16 { return binary.LittleEndian.Uint16(r.take(2)) }
-func (r *reader) u32() uint32 { return binary.LittleEndian.Uint32(r.take(4)) }
-func (r *reader) u64() uint64 { return binary.LittleEndian.Uint64(r.take(8)) }
-func (r *reader) text(most int) string {
-	n := int(r.u8())
-	if n > most {
-		r.bad = true
-		return ""
-	}
-	return string(r.take(n))
-}
+func read(b []byte) reader { return reader{datagram.Reader{B: b}} }
 
 func (r *reader) addr() netip.AddrPort {
-	n := int(r.u8())
+	n := int(r.U8())
 	if n != 4 && n != 16 {
-		r.bad = true
+		r.Bad = true
 		return netip.AddrPort{}
 	}
-	ip, _ := netip.AddrFromSlice(r.take(n))
-	return netip.AddrPortFrom(ip, r.u16())
+	ip, _ := netip.AddrFromSlice(r.Take(n))
+	return netip.AddrPortFrom(ip, r.U16())
 }
 
 func (r *reader) entry() (e entry) {
-	flag := r.u8()
+	flag := r.U8()
 	e.full, e.what = flag&fullBit != 0, flag&typeBits
 	if flag&^(fullBit|typeBits) != 0 || e.what > isVote {
-		r.bad = true
+		r.Bad = true
 	}
-	e.birth, e.inc = r.u64(), r.u32()
+	e.birth, e.inc = r.U64(), r.U32()
 	votes := 0
 	switch e.what {
 	case isDead:
-		e.state, e.age, votes = Dead, Micros(r.u16()), int(r.u8())
+		e.state, e.age, votes = Dead, Micros(r.U16()), int(r.U8())
 	case isLeft:
-		e.state, e.age = Left, Micros(r.u16())
+		e.state, e.age = Left, Micros(r.U16())
 	case isVote:
 		votes = 1
 	}
 	if votes > votesMost {
-		r.bad = true
+		r.Bad = true
 		return e
 	}
 	for range votes {
-		e.votes = append(e.votes, r.u32())
+		e.votes = append(e.votes, r.U32())
 	}
 	if e.full {
-		e.name, e.zone, e.addr = r.text(MaxName), r.text(MaxZone), r.addr()
-		r.bad = r.bad || e.name == "" || !e.addr.IsValid()
+		e.name, e.zone, e.addr = r.Text(MaxName), r.Text(MaxZone), r.addr()
+		r.Bad = r.Bad || e.name == "" || !e.addr.IsValid()
 	}
-	r.bad = r.bad || e.birth == 0
+	r.Bad = r.Bad || e.birth == 0
 	return e
 }
 
 // entries reads up to the end; none where any is bad, as a datagram is taken whole or not at all.
 func (r *reader) entries() (list []entry) {
-	for len(r.b) > 0 && !r.bad {
+	for len(r.B) > 0 && !r.Bad {
 		list = append(list, r.entry())
 	}
-	if r.bad {
+	if r.Bad {
 		return nil
 	}
 	return list
@@ -210,10 +188,10 @@
 }
 
 func (r *reader) head() (h head) {
-	h.kind, h.birth, h.inc = r.u8(), r.u64(), r.u32()
-	h.seq = uint64(r.u32()) | uint64(r.u16())<<32
-	h.digest, h.stamp, h.app = r.u64(), r.u32(), r.u32()
-	r.bad = r.bad || h.kind == 0 || h.kind >= kinds || h.birth == 0
+	h.kind, h.birth, h.inc = r.U8(), r.U64(), r.U32()
+	h.seq = uint64(r.U32()) | uint64(r.U16())<<32
+	h.digest, h.stamp, h.app = r.U64(), r.U32(), r.U32()
+	r.Bad = r.Bad || h.kind == 0 || h.kind >= kinds || h.birth == 0
 	return h
 }
 
--- a/internal/platform/fleet.go
+++ b/internal/platform/fleet.go
@@ -21,7 +21,7 @@
 	// leavePeriods is how long the end waits at most for others to hear of it.
 	leavePeriods = 3
 	// toldPeriods is how long a start waits at most to be told the fleet's verdicts.
-	toldPeriods = 8
+	toldPeriods = 12
 	toldLook    = 5 * time.Millisecond
 	bindEvery   = 200 * time.Millisecond
 )
--- a/internal/rig/verdict_test.go
+++ b/internal/rig/verdict_test.go
@@ -158,6 +158,9 @@
 	if !within(time.Duration(SettlePeriods)*period+sayLimit(6)+2*pollEvery, allHold(r, "n1", "n2")) {
 		t.Fatal("no one verdict after the heal")
 	}
+	if !r.Quiesce(patience) {
+		t.Error("queries without an answer")
+	}
 	for _, f := range Check(r.History.Events(), false) {
 		t.Error(f)
 	}
--- a/internal/verdict/spread.go
+++ b/internal/verdict/spread.go
@@ -9,6 +9,8 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+
+	"lapislever/internal/datagram"
 )
 
 const (
@@ -33,7 +35,18 @@
 	Data []byte
 }
 
-// Peer is another member that is alive. Sum is the digest that it last told; 0: none yet.
+// Untold is what a member says in place of its digest that has not been told what the fleet holds. Digests
+// are odd.
+const Untold uint32 = 2
+
+// untoldFor is for how many periods all others have to be untold as well, or so many as untoldMost where
+// there are more, with none that is told, for there to be nothing to be told.
+const (
+	untoldFor  = 3
+	untoldMost = 16
+)
+
+// Peer is another member that is alive. Sum is what it last announced; 0: nothing yet.
 type Peer struct {
 	Name string
 	Sum  uint32
@@ -51,6 +64,7 @@
 	out    []Send
 	acks   map[string][]*entry // to be told to who gave or sent them
 	told   bool
+	none   int   // periods in which nobody knew anything
 	Sent   int64 // messages
 }
 
@@ -60,6 +74,14 @@
 		acks: map[string][]*entry{}}
 }
 
+// Announce is what others are told: the digest, once this member knows what they hold.
+func (s *Spreader) Announce() uint32 {
+	if !s.told {
+		return Untold
+	}
+	return s.Digest()
+}
+
 // Told tells that another member's table has been taken in, or that there is none to take.
 func (s *Spreader) Told() bool { return s.told }
 
@@ -101,9 +123,15 @@
 	}
 	s.told = s.told || len(peers) == 0
 	var differ []Peer
+	untold, knows := 0, 0
 	for _, p := range peers {
+		if p.Sum != 0 && p.Sum != Untold {
+			knows++
+		}
 		switch {
 		case p.Sum == 0:
+		case p.Sum == Untold: // it asks by itself, and its own table tells nothing
+			untold++
 		case p.Sum == s.Digest():
 			s.holder(p.Name)
 			s.told = s.told || all
@@ -111,6 +139,10 @@
 			differ = append(differ, p)
 		}
 	}
+	if s.none++; knows > 0 || untold < min(untoldMost, len(peers)) {
+		s.none = 0
+	}
+	s.told = s.told || s.none >= untoldFor
 	s.spread(now, directly)
 	for i := range min(compares, len(differ)) {
 		j := i + int(s.rng.Uint64()%uint64(len(differ)-i))
@@ -206,43 +238,20 @@
 	return b
 }
 
-// reader takes a message apart; past its end it fails.
-type reader struct {
-	b   []byte
-	bad bool
-}
-
-func (r *reader) take(n int) []byte {
-	if n > len(r.b) {
-		r.bad, r.b = true, nil
-		return make([]byte, n)
-	}
-	x := r.b[:n]
-	r.b = r.b[n:]
-	return x
-}
-
-func (r *reader) u32() uint32 { return binary.LittleEndian.Uint32(r.take(4)) }
-func (r *reader) u64() uint64 { return binary.LittleEndian.Uint64(r.take(8)) }
-func (r *reader) text(most int) string {
-	n := int(r.take(1)[0])
-	r.bad = r.bad || n > most
-	return string(r.take(min(n, most)))
-}
-
 // ageMost bounds what a message may claim: a hundred years.
 const ageMost = 100 * 365 * 24 * 3600 * 1_000_000
 
 // maxMember is the longest name of a member.
 const maxMember = 40
 
-func (r *reader) verdict() (v Verdict, age Micros) {
-	head := r.take(2)
+// readVerdict reads one entry.
+func readVerdict(r *datagram.Reader) (v Verdict, age Micros) {
+	head := r.Take(2)
 	v.Kind, v.On, v.Word = Kind(head[0]), head[1]&1 == 1, Word(head[1]>>1)
-	v.Stamp = r.u64()
-	a, span := r.u64(), r.u64()
-	v.What, v.Member, v.By, v.Reason = r.text(MaxWhat), r.text(maxMember), r.text(MaxBy), r.text(MaxReason)
-	r.bad = r.bad || v.Word > Pin || v.Kind < Node || v.Kind > Setting || v.What == "" || a > ageMost ||
+	v.Stamp = r.U64()
+	a, span := r.U64(), r.U64()
+	v.What, v.Member, v.By, v.Reason = r.Text(MaxWhat), r.Text(maxMember), r.Text(MaxBy), r.Text(MaxReason)
+	r.Bad = r.Bad || v.Word > Pin || v.Kind < Node || v.Kind > Setting || v.What == "" || a > ageMost ||
 		span > ageMost
 	v.Span = Micros(span)
 	return v, Micros(a)
@@ -253,7 +262,7 @@
 	if len(data) == 0 {
 		return false
 	}
-	r := &reader{b: data[1:]}
+	r := &datagram.Reader{B: data[1:]}
 	switch data[0] {
 	case msgEntries:
 		type item struct {
@@ -261,11 +270,11 @@
 			age Micros
 		}
 		var list []item
-		for len(r.b) > 0 && !r.bad {
-			v, age := r.verdict()
+		for len(r.B) > 0 && !r.Bad {
+			v, age := readVerdict(r)
 			list = append(list, item{v, age})
 		}
-		if r.bad {
+		if r.Bad {
 			return false
 		}
 		for _, x := range list {
@@ -279,9 +288,9 @@
 			}
 		}
 	case msgSums:
-		salt := r.u32()
-		theirs := r.take(2 * buckets)
-		if r.bad {
+		salt := r.U32()
+		theirs := r.Take(2 * buckets)
+		if r.Bad {
 			return false
 		}
 		s.list(from, salt, theirs)
@@ -289,23 +298,23 @@
 		return s.compare(now, from, r)
 	case msgWant:
 		var want []uint32
-		for len(r.b) > 0 && !r.bad {
-			want = append(want, r.u32())
+		for len(r.B) > 0 && !r.Bad {
+			want = append(want, r.U32())
 		}
-		if r.bad {
+		if r.Bad {
 			return false
 		}
 		s.entriesTo(now, from, func(e *entry) bool { return slices.Contains(want, e.hash) })
 	case msgAck:
-		for len(r.b) > 0 && !r.bad {
-			hash, stamp := r.u32(), r.u64()
+		for len(r.B) > 0 && !r.Bad {
+			hash, stamp := r.U32(), r.U64()
 			for _, e := range s.entries {
-				if !r.bad && e.hash == hash && e.Stamp == stamp {
+				if !r.Bad && e.hash == hash && e.Stamp == stamp {
 					e.held[from] = true
 				}
 			}
 		}
-		return !r.bad
+		return !r.Bad
 	default:
 		return false
 	}
@@ -402,14 +411,14 @@
 
 // compare holds another's stamps in a range against one's own: what it lacks is sent, what is lacking here is
 // asked for.
-func (s *Spreader) compare(now Micros, from string, r *reader) bool {
-	lo, hi := r.u32(), r.u32()
+func (s *Spreader) compare(now Micros, from string, r *datagram.Reader) bool {
+	lo, hi := r.U32(), r.U32()
 	theirs := map[uint32]uint64{}
-	for len(r.b) > 0 && !r.bad {
-		h := r.u32()
-		theirs[h] = max(theirs[h], r.u64())
+	for len(r.B) > 0 && !r.Bad {
+		h := r.U32()
+		theirs[h] = max(theirs[h], r.U64())
 	}
-	if r.bad || lo > hi {
+	if r.Bad || lo > hi {
 		return false
 	}
 	own := map[uint32]uint64{}
