Open the operators' door before a start waits for the fleet

Need: a start waits up to 28 periods to be let in and told, and staff could not ask it anything meanwhile. The door opens first now; /admin/health says no until clients are taken, as before.

--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -181,6 +181,11 @@
 	if cfg.Discovery != "" {
 		go w.run(!cfg.Module.Subscribe)
 	}
+	if cfg.Operator != "" { // before the fleet, which a start may wait for
+		if k.door, err = admin.Open(cfg.Operator, doorState{k}, log); err != nil {
+			log.Error("the operators' door stays shut: serving without it", "address", cfg.Operator, "err", err)
+		}
+	}
 	if err := k.enterFleet(); err != nil {
 		k.halt()
 		return nil, err
@@ -191,11 +196,6 @@
 		}
 	}
 	go k.prepare(beside, budget)
-	if cfg.Operator != "" {
-		if k.door, err = admin.Open(cfg.Operator, doorState{k}, log); err != nil {
-			log.Error("the operators' door stays shut: serving without it", "address", cfg.Operator, "err", err)
-		}
-	}
 	log.Info("started", "name", cfg.Name, "listen", k.listening())
 	return k, nil
 }
