--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -385,7 +385,8 @@
 		v.fare(-1)
 	}
 	m.acked, m.met = max(m.acked, p.sent), true
-	if w := v.watching(m.birth); w != nil && m.acked >= w.since { // late, but an answer to the very probe counts too
+	// The answer to the very probe that began the watch counts too, however late it is.
+	if w := v.watching(m.birth); w != nil && m.acked >= w.since {
 		v.unwatch(m.birth)
 		m.votes = nil // a member believes what it sees
 	}
