--- a/internal/console/fleet.go
+++ b/internal/console/fleet.go
@@ -15,7 +15,7 @@
 var ErrUsage = errors.New("usage")
 
 // calls are all that there are.
-const calls = "members, verdicts, cordon ID, uncordon ID, ban PREFIX, pin PREFIX, lift PREFIX"
+const calls = "members, verdicts, limits, cordon ID, uncordon ID, ban PREFIX, pin PREFIX, lift PREFIX"
 
 // watchEvery is the time between two looks of --watch.
 const watchEvery = time.Second
@@ -66,6 +66,8 @@
 		show = f.members
 	case "verdicts":
 		show = f.verdicts
+	case "limits":
+		show = f.limits
 	case "cordon", "uncordon", "ban", "pin", "lift":
 		if len(words) != 2 {
 			return fmt.Errorf("%w: %s takes one data node's id, or a prefix", ErrUsage, words[0])
@@ -93,17 +95,9 @@
 }
 
 func (f Fleet) members(out io.Writer) error {
-	body, err := Call(f.Door, "GET", "/admin/fleet", "", nil, 0)
-	if err != nil {
-		return err
-	}
-	if f.JSON {
-		_, err = fmt.Fprintf(out, "%s\n", body)
-		return err
-	}
 	var v fleetView
-	if err := json.Unmarshal(body, &v); err != nil {
-		return fmt.Errorf("the door's answer: %w", err)
+	if done, err := f.get("/admin/fleet", &v, out); done || err != nil {
+		return err
 	}
 	fmt.Fprintf(out, "%s, incarnation %d: %d of %d alive, digest %s, health %d\n", v.Self, v.Incarnation,
 		v.Alive, len(v.Members), v.Digest, v.Figures.Health)
@@ -135,20 +129,12 @@
 }
 
 func (f Fleet) verdicts(out io.Writer) error {
-	body, err := Call(f.Door, "GET", "/admin/verdicts", "", nil, 0)
-	if err != nil {
-		return err
-	}
-	if f.JSON {
-		_, err = fmt.Fprintf(out, "%s\n", body)
-		return err
-	}
 	var v struct {
 		Verdicts []verdictView
 		Told     bool
 	}
-	if err := json.Unmarshal(body, &v); err != nil {
-		return fmt.Errorf("the door's answer: %w", err)
+	if done, err := f.get("/admin/verdicts", &v, out); done || err != nil {
+		return err
 	}
 	if !v.Told {
 		fmt.Fprintln(out, "THIS PROCESS HAS NOT BEEN TOLD WHAT THE FLEET HOLDS")
@@ -167,6 +153,30 @@
 	return w.Flush()
 }
 
+func (f Fleet) limits(out io.Writer) error {
+	var v struct {
+		Limits []struct {
+			Name               string
+			Limit, Share, Used float64
+			InDoubt            float64 `json:"in_doubt"`
+			Over               float64 `json:"over_at_most"`
+			Stale              int64   `json:"stale_ms"`
+			Refused            int64
+		}
+	}
+	if done, err := f.get("/admin/limits", &v, out); done || err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w,
+		"LIMIT\tA SECOND\tSHARE HERE\tUSED HERE\tLENT OR IN DOUBT\tOVER AT MOST\tOLDEST LOAN\tREFUSED")
+	for _, x := range v.Limits {
+		fmt.Fprintf(w, "%s\t%.4g\t%.4g\t%.4g\t%.4g\t%.4g\t%s\t%d\n", x.Name, x.Limit, x.Share, x.Used, x.InDoubt,
+			x.Over, span(x.Stale), x.Refused)
+	}
+	return w.Flush()
+}
+
 func dash(s string) string {
 	if s == "" {
 		return "-"
@@ -202,6 +212,22 @@
 	return nil
 }
 
+// get asks the door and takes its answer apart; done: the door's own words were wanted, and are printed.
+func (f Fleet) get(path string, into any, out io.Writer) (done bool, err error) {
+	body, err := Call(f.Door, "GET", path, "", nil, 0)
+	if err != nil {
+		return false, err
+	}
+	if f.JSON {
+		_, err = fmt.Fprintf(out, "%s\n", body)
+		return true, err
+	}
+	if err := json.Unmarshal(body, into); err != nil {
+		return false, fmt.Errorf("the door's answer: %w", err)
+	}
+	return false, nil
+}
+
 // span words milliseconds for people.
 func span(ms int64) string {
 	d := time.Duration(ms) * time.Millisecond
--- a/internal/fleet/verdicts.go
+++ b/internal/fleet/verdicts.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lapislever/internal/membership"
+	"lapislever/internal/quota"
 	"lapislever/internal/verdict"
 )
 
@@ -24,8 +25,9 @@
 
 // Handover is what the next process of this member needs.
 type Handover struct {
-	View     membership.Snapshot `json:"view"`
-	Verdicts []verdict.Saved     `json:"verdicts"`
+	View     membership.Snapshot     `json:"view"`
+	Verdicts []verdict.Saved         `json:"verdicts"`
+	Lent     map[string][]quota.Lend `json:"lent"` // of each limit
 }
 
 // Verdicts is the form of GET /admin/verdicts.
@@ -93,16 +95,24 @@
 	if now := f.now(); v.Joined() && now >= k.tickAt {
 		k.tickAt = now + f.cfg.Period().Microseconds()
 		var peers []verdict.Peer
+		var names []string
 		self := v.Self().Name
 		for _, m := range v.Members() {
 			if m.State <= membership.Suspect && m.Name != self {
 				peers = append(peers, verdict.Peer{Name: m.Name, Sum: m.App})
+				names = append(names, m.Name)
 			}
 		}
 		k.Tick(now, peers)
+		f.tendLimits(v, now, names)
 	}
 	sends, changes := k.Take()
 	for _, c := range changes {
+		if c.Verdict.Kind == verdict.Setting { // there is nothing to carry out
+			k.Applied(c.Verdict)
+			k.Push(f.now(), c.Verdict)
+			continue
+		}
 		f.log.Info("fleet verdict", "kind", c.Verdict.String(), "what", c.Verdict.What, "holds", c.Holds,
 			"by", c.Verdict.By, "at", c.Verdict.Member, "reason", c.Verdict.Reason)
 		k.Push(f.now(), c.Verdict)
@@ -111,7 +121,11 @@
 	for _, s := range append(sends, more...) {
 		v.Say(s.To, toVerdict, s.Data)
 	}
-	k.pending = append(k.pending, changes...)
+	for _, c := range changes {
+		if c.Verdict.Kind != verdict.Setting {
+			k.pending = append(k.pending, c)
+		}
+	}
 	for len(k.pending) > 0 {
 		select {
 		case f.toApply <- k.pending[0]:
@@ -121,7 +135,7 @@
 		}
 		break
 	}
-	v.Tell(k.Digest())
+	v.Tell(k.Announce())
 }
 
 // hearVerdict takes in another member's message on verdicts.
@@ -136,6 +150,9 @@
 	now, wall := f.now(), time.Now().UnixMilli()
 	out := &Verdicts{Verdicts: []VerdictStatus{}, Told: f.keep.Told()}
 	for _, l := range f.keep.Lines(now) {
+		if l.Kind == verdict.Setting {
+			continue
+		}
 		out.Verdicts = append(out.Verdicts, f.status(l, alive, wall))
 	}
 	f.verdicts.Store(out)
--- a/internal/platform/fleet.go
+++ b/internal/platform/fleet.go
@@ -21,7 +21,7 @@
 	// leavePeriods is how long the end waits at most for others to hear of it.
 	leavePeriods = 3
 	// toldPeriods is how long a start waits at most to be told the fleet's verdicts.
-	toldPeriods = 8
+	toldPeriods = 12
 	toldLook    = 5 * time.Millisecond
 	bindEvery   = 200 * time.Millisecond
 )
@@ -139,6 +139,12 @@
 	}
 }
 
+// allow asks the fleet's limits.
+func (k *Coordinator) allow(class int) (bool, time.Duration, string) {
+	ok, after, limit := k.fleet.Allow(k.front.conf.Load().Classes[class])
+	return ok, after, "limit " + limit + " of the fleet"
+}
+
 // Failed hears once why this process must not go on serving.
 func (k *Coordinator) Failed() <-chan error { return k.failed }
 
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -1,6 +1,7 @@
 package rig
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -42,6 +43,8 @@
 	Nodes   int     // data nodes; they hold the two cells in turn
 	Rate    float64 // queries a second and member
 	Keys    string  // text of the key file; empty: no keys
+	Limits  string  // [[limit]] tables of the fleet's file
+	Most    int     // members that there may be; 0: 64
 	Out     *History
 }
 
@@ -70,7 +73,8 @@
 	stop    chan struct{}
 	wait    sync.WaitGroup
 	asked   atomic.Int64
-	quiet   atomic.Bool // no new queries
+	quiet   atomic.Bool  // no new queries
+	busy    atomic.Int64 // queries that are being asked, or may yet be
 }
 
 // Member is one coordinator.
@@ -84,6 +88,7 @@
 	up         atomic.Bool
 	downs      atomic.Int64 // times that it was killed, stopped or ended
 	view       atomic.Pointer[View]
+	Mute       atomic.Bool // no queries of its own clients
 }
 
 // View is what a member's door says of the fleet.
@@ -352,7 +357,8 @@
 func (m *Member) write(edit ...string) (env []string, err error) {
 	r := m.rig
 	var fleet strings.Builder
-	fmt.Fprintf(&fleet, "[fleet]\nname = %q\nzone = %q\nlisten = %q\nmost = 64\n", m.Name, m.Zone, m.fleetAddr())
+	fmt.Fprintf(&fleet, "[fleet]\nname = %q\nzone = %q\nlisten = %q\nmost = %d\n", m.Name, m.Zone, m.fleetAddr(),
+		cmp.Or(r.cfg.Most, 64))
 	var join, routes []string
 	for _, o := range r.members {
 		if o != m {
@@ -371,6 +377,7 @@
 	}
 	fmt.Fprintf(&fleet, "[fleet.route]\n%s\n[fleet.detect]\nperiod_ms = %d\n", strings.Join(routes, "\n"),
 		r.cfg.Period.Milliseconds())
+	fleet.WriteString(r.cfg.Limits)
 	text := strings.NewReplacer(edit...).Replace(fleet.String())
 	if err := os.WriteFile(m.file("fleet.toml"), []byte(text), 0o600); err != nil {
 		return nil, err
@@ -394,13 +401,18 @@
 	return err
 }
 
-// Start starts the member; edit changes the fleet's file.
-func (m *Member) Start(edit ...string) error {
+// launch writes the member's files and starts a process by them.
+func (m *Member) launch(edit ...string) (*Proc, error) {
 	env, err := m.write(edit...)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	p, err := Start(m.rig.program, []string{"serve", "--fleet", m.file("fleet.toml")}, env, m.LogPath())
+	return Start(m.rig.program, []string{"serve", "--fleet", m.file("fleet.toml")}, env, m.LogPath())
+}
+
+// Start starts the member; edit changes the fleet's file.
+func (m *Member) Start(edit ...string) error {
+	p, err := m.launch(edit...)
 	if err != nil {
 		return err
 	}
@@ -460,11 +472,7 @@
 	m.note("upgrade")
 	was := m.Door()
 	m.twin.Store(1 - m.twin.Load())
-	env, err := m.write()
-	if err != nil {
-		return err
-	}
-	p, err := Start(m.rig.program, []string{"serve", "--fleet", m.file("fleet.toml")}, env, m.LogPath())
+	p, err := m.launch()
 	if err != nil {
 		return err
 	}
@@ -577,12 +585,15 @@
 		case <-tick.C:
 		}
 		v := m.View()
-		if v == nil || m.rig.quiet.Load() {
+		m.rig.busy.Add(1)
+		if v == nil || m.rig.quiet.Load() || m.Mute.Load() {
+			m.rig.busy.Add(-1)
 			continue
 		}
 		out.Add(1)
 		go func() {
 			defer out.Done()
+			defer m.rig.busy.Add(-1)
 			m.one(idle)
 		}()
 	}
