Have kept test results of the rig go by what the program is made of

Seen: go test gave the rig's results out of its cache after the program had changed, as the test binary only starts it. The test imports the program's packages now.

--- a/internal/rig/smoke_test.go
+++ b/internal/rig/smoke_test.go
@@ -4,6 +4,12 @@
 	"os"
 	"testing"
 	"time"
+
+	// What the program is made of: so that results that go test has kept do not outlive a change of it.
+	_ "lapislever/internal/console"
+	_ "lapislever/internal/kiosk"
+	_ "lapislever/internal/platform"
+	_ "lapislever/internal/promql"
 )
 
 func TestMain(m *testing.M) {
