Cut admission for what is in vain where there are many coordinators only

The cut counts by what is left of few peers, as the share on top of them does: nothing with 3, all but 4% with 80.

At 80 and 300 coordinators it changes the cut by 4% and 1%.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -706,9 +706,10 @@
 	}
 	slices.Sort(waits)
 	wait := waits[min(len(waits)-1, int(admitQuantile*floor*float64(len(waits))))]
-	share := admitShare + admitAlone*min(1, admitPeers/float64(max(1, b.s.Peers)))
-	// What was sent in vain is sent again, and takes room twice.
-	share *= 1 - min(vainMost, vainCut*b.vain)
+	few := min(1, admitPeers/float64(max(1, b.s.Peers)))
+	share := admitShare + admitAlone*few
+	// What was sent in vain is sent again, and takes room twice. Few see that in their own queues soon enough.
+	share *= 1 - (1-few)*min(vainMost, vainCut*b.vain)
 	tail := math.Log(float64(len(q.parts)) / (1 + b.beside)) // by which the last needed part is later
 	if floor < 1-2*tolerance {
 		tail = min(tail, -math.Log(1-floor))
