--- a/internal/rig/verdict_test.go
+++ b/internal/rig/verdict_test.go
@@ -55,6 +55,17 @@
 	return what, v.Told
 }
 
+// awaitServing waits until the member says that it takes clients: the door is open before.
+func (m *Member) awaitServing(t *testing.T) {
+	t.Helper()
+	if !within(patience, func() bool {
+		reply, err := m.Call("GET", "/admin/health", "")
+		return err == nil && reply.Status == 200
+	}) {
+		t.Fatalf("%s does not serve", m.Name)
+	}
+}
+
 func allHold(r *Rig, want ...string) func() bool {
 	return func() bool {
 		for _, m := range r.Running() {
@@ -99,6 +110,7 @@
 			t.Fatal(err)
 		}
 		awaitSettled(t, r, "restart of "+m.Name)
+		m.awaitServing(t)
 		if got, told := m.holds(); !slices.Equal(got, []string{"n0"}) || !told {
 			t.Fatalf("%s holds %v after its restart, told: %v", m.Name, got, told)
 		}
@@ -195,6 +207,7 @@
 	}
 	awaitSettled(t, r, "the herd is back")
 	for _, m := range herd {
+		m.awaitServing(t)
 		if got, told := m.holds(); !slices.Contains(got, "n3") || !told {
 			t.Errorf("%s is back and holds %v, told: %v", m.Name, got, told)
 		}
