--- a/balance/balance.go
+++ b/balance/balance.go
@@ -708,7 +708,7 @@
 	wait := waits[min(len(waits)-1, int(admitQuantile*floor*float64(len(waits))))]
 	few := min(1, admitPeers/float64(max(1, b.s.Peers)))
 	share := admitShare + admitAlone*few
-	// What was sent in vain is sent again, and takes room twice. Few see that in their own queues soon enough.
+	// What was sent in vain is sent again, and takes room twice. Few see that in their own queues.
 	share *= 1 - (1-few)*min(vainMost, vainCut*b.vain)
 	tail := math.Log(float64(len(q.parts)) / (1 + b.beside)) // by which the last needed part is later
 	if floor < 1-2*tolerance {
