Drop two accessors that nobody calls, and name two functions as they are

Found on reading the change once more: Fleet.Alive and Fleet.Addr had no caller, and the comments of numbered and entryOf still bore the names of earlier drafts. Behaviour is as before.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,7 +9,6 @@
 	"log/slog"
 	"math/bits"
 	"net"
-	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -352,9 +351,6 @@
 	}
 }
 
-// Alive are the other members that are alive, by name.
-func (f *Fleet) Alive() []string { return *f.alive.Load() }
-
 // Status is what the door shows.
 func (f *Fleet) Status() *Status { return f.show.Load() }
 
@@ -550,6 +546,3 @@
 	}
 	return out
 }
-
-// Addr is the address listened on.
-func (f *Fleet) Addr() netip.AddrPort { return f.cfg.listen }
--- a/internal/membership/wire.go
+++ b/internal/membership/wire.go
@@ -209,7 +209,7 @@
 	return binary.LittleEndian.AppendUint32(b, v.app)
 }
 
-// with begins a datagram and says of this member who it is, where the other may not know.
+// numbered begins a datagram that bears a number.
 func (v *View) numbered(kind byte, id uint32) []byte {
 	return binary.LittleEndian.AppendUint32(v.begin(kind), id)
 }
@@ -223,7 +223,7 @@
 	return e
 }
 
-// told is what is known of a member, as an entry.
+// entryOf is what is known of a member, as an entry.
 func (v *View) entryOf(m *member, full bool) entry {
 	e := entry{record: m.record, full: full, what: byte(m.state)}
 	if m.state != Alive {
