Wait until a connection is idle before the next test's client has it make way

The client has its reply before the server counts the connection as idle (serverConn.next, become(waiting)), and the one that has been idle for longest makes way: on a busy machine that was the second one, which the test then used.

--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -181,6 +181,18 @@
 	return f()
 }
 
+// idle counts the connections between requests.
+func (e *echo) idle() (n int) {
+	e.Server.mu.Lock()
+	defer e.Server.mu.Unlock()
+	for c := range e.Server.conns {
+		if use, _ := c.use(); use == idle {
+			n++
+		}
+	}
+	return n
+}
+
 func until(t *testing.T, what string, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(30 * time.Second); !ok(); time.Sleep(time.Millisecond) {
@@ -291,10 +303,12 @@
 	b := NewBudget(4, 2) // two for clients
 	e := serve(t, b)
 	first, second := dial(t, e.Server), dial(t, e.Server)
-	for _, c := range []*Client{first, second} {
+	for i, c := range []*Client{first, second} {
 		if r, err := c.post("x"); err != nil || r.Status != 200 {
 			t.Fatal(r, err)
 		}
+		// The reply is here before its connection is idle there, and the one idle for longest makes way.
+		until(t, "an idle one", func() bool { return e.idle() == i+1 })
 	}
 	third := dial(t, e.Server)
 	if r, err := third.post("x"); err != nil || r.Status != 200 {
