Put sick data nodes out for the fleet by counts that all members pool at a few judges

Judging by single members' opinions had failed: no member ever saw four outcomes at a failing node, as modules turn away after the first.

Members count in bouts (verdict.Witness) and tell three judges of a node, by rendezvous hashing, when that is bad; judges ask others for what is good (verdict.Jury). Q members of two zones make a node sick for all, those of one zone for that zone. A member to which more than half of the nodes seem sick does not count. Out for 50 periods, twice as long for each relapse; a quarter of the nodes at most, over all sides of a cut, and never a shard's last one (verdict.Guard, asked by the core). fleet uncordon takes a judgement back.

Found on the way: evidence seen before a verdict's end put the node out again at once (Table.Sick, Acquit); four bad outcomes are more than one zone of three members gets in a window; slots of 10 periods hid the good ones.

Five real processes, 8 nodes, race detector: failing for all, deaf to one zone, one member's links cut, an operator's word. The core's outcome costs a lock and one map.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -6,16 +6,19 @@
 package core
 
 import (
+	"cmp"
 	"container/heap"
 	"hash/fnv"
 	"log/slog"
 	"maps"
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"lapislever/balance"
+	"lapislever/internal/verdict"
 )
 
 // Sizes of the core.
@@ -244,16 +247,19 @@
 	By     Author         // each who has put it out has to put it back
 	At     balance.Micros // when it was called, in Unix microseconds; 0: now
 	Sure   bool           // another process of this coordinator knows the server: no question
+	Order  uint64         // of a Judged one: which goes first where not all may be out
 	Done   chan<- bool    // hears once whether the server is known; it has room. Or nil
 }
 
 // Author is who puts servers out.
 type Author uint8
 
-// The authors: an operator at this coordinator, and one for the whole fleet.
+// The authors: an operator at this coordinator, one for the whole fleet, and the fleet by evidence.
 const (
 	Here Author = iota
 	ByFleet
+	Judged // by evidence, for the whole fleet and for a zone: the only ones that the guard may leave in
+	JudgedHere
 	authors
 )
 
@@ -293,6 +299,11 @@
 	// Admit is asked before a query of a class is queued: whether it may be let in, and if not after how long
 	// and why. It is called from any goroutine and must not block. Nil: all may.
 	Admit func(class int) (ok bool, after time.Duration, why string)
+	// Saw is told how each attempt ended, by the core's goroutine. It must not wait. Nil: nobody is.
+	Saw func(id balance.ReplicaID, class int, o balance.Outcome, took time.Duration)
+	// Guard chooses which of the servers that are out by evidence, the first to be judged first, may be so.
+	// Nil: none.
+	Guard func(listed []verdict.Holder, sick []uint64) map[uint64]bool
 	// Listed is called after the first Step that knew a server.
 	Listed func()
 }
@@ -325,6 +336,8 @@
 	sawList  bool
 	listed   map[balance.ReplicaID]balance.Replica         // as discovery tells
 	outs     [authors]map[balance.ReplicaID]balance.Micros // put out, by whom and when
+	order    map[balance.ReplicaID]uint64                  // of those that are judged
+	judged   map[uint64]bool                               // of those, the ones that are out
 	since    map[balance.ReplicaID]balance.Micros          // put back then: started no earlier
 	countAt  balance.Micros                                // when the list's figures are next due
 	idle     chan struct{}                                 // closed once nothing is open while stopping
@@ -346,7 +359,7 @@
 		quit: make(chan struct{}), idle: make(chan struct{}),
 		epoch: now, base: now.UnixMicro(), queries: map[uint32]*Query{}, parts: map[uint32]*part{},
 		names: map[string]*Query{}, numbers: map[float32]bool{}, listed: map[balance.ReplicaID]balance.Replica{},
-		since: map[balance.ReplicaID]balance.Micros{},
+		since: map[balance.ReplicaID]balance.Micros{}, order: map[balance.ReplicaID]uint64{},
 	}
 	for i := range c.outs {
 		c.outs[i] = map[balance.ReplicaID]balance.Micros{}
@@ -444,10 +457,10 @@
 
 // Bar puts a server out or back by the fleet's word, and returns once that holds here, or false once the core
 // has ended. The server need not be listed: it may be yet.
-func (c *Core) Bar(id balance.ReplicaID, by Author, out bool) bool {
+func (c *Core) Bar(id balance.ReplicaID, by Author, out bool, order uint64) bool {
 	for {
 		done := make(chan bool, 1)
-		if _, inTime := ask(c, Cordon{Server: id, Out: out, By: by, Sure: true, Done: done}, done,
+		if _, inTime := ask(c, Cordon{Server: id, Out: out, By: by, Sure: true, Order: order, Done: done}, done,
 			time.Second); inTime {
 			return true
 		}
@@ -607,13 +620,16 @@
 		clear(c.listed)
 	}
 	c.sawList = c.sawList || len(e.Replicas) > 0
-	replicas := make([]balance.Replica, 0, len(e.Replicas))
 	for _, r := range e.Replicas {
 		if r.State == balance.Gone {
 			delete(c.listed, r.ID)
 		} else {
 			c.listed[r.ID] = r
 		}
+	}
+	c.guard(0)
+	replicas := make([]balance.Replica, 0, len(e.Replicas))
+	for _, r := range e.Replicas {
 		replicas = append(replicas, c.overlay(r))
 	}
 	e.Replicas = replicas
@@ -647,7 +663,12 @@
 
 // isOut tells that somebody has put a server out.
 func (c *Core) isOut(id balance.ReplicaID) bool {
-	for _, by := range c.outs {
+	return c.byHand(id) || c.judged[uint64(id)]
+}
+
+// byHand tells that an operator has.
+func (c *Core) byHand(id balance.ReplicaID) bool {
+	for _, by := range c.outs[:Judged] {
 		if _, out := by[id]; out {
 			return true
 		}
@@ -655,6 +676,52 @@
 	return false
 }
 
+// isJudged tells that evidence speaks against a server, whether or not it is out for that.
+func (c *Core) isJudged(id balance.ReplicaID) bool {
+	_, all := c.outs[Judged][id]
+	_, here := c.outs[JudgedHere][id]
+	return all || here
+}
+
+// guard chooses anew which of the servers that are judged are out, and has the module hear of those for which
+// that has changed, but for what it is about to hear of anyway.
+func (c *Core) guard(but balance.ReplicaID) {
+	if c.cfg.Guard == nil || len(c.outs[Judged])+len(c.outs[JudgedHere])+len(c.judged) == 0 {
+		return
+	}
+	nodes := make([]verdict.Holder, 0, len(c.listed))
+	for id, r := range c.listed {
+		nodes = append(nodes, verdict.Holder{ID: uint64(id), Cell: r.Cell,
+			Up: r.State == balance.Ready && !c.byHand(id)})
+	}
+	var sick []uint64
+	for _, by := range c.outs[Judged:] {
+		for id := range by {
+			sick = append(sick, uint64(id))
+		}
+	}
+	slices.SortFunc(sick, func(a, b uint64) int {
+		return cmp.Or(cmp.Compare(c.order[balance.ReplicaID(a)], c.order[balance.ReplicaID(b)]), cmp.Compare(a, b))
+	})
+	was := c.judged
+	c.judged = c.cfg.Guard(nodes, slices.Compact(sick))
+	now := c.clock(time.Now())
+	var told []balance.Replica
+	for id, r := range c.listed {
+		if out := c.judged[uint64(id)]; out != was[uint64(id)] {
+			if !out {
+				c.since[id] = now // nobody knows in what state it comes back
+			}
+			if id != but {
+				told = append(told, c.overlay(r))
+			}
+		}
+	}
+	if len(told) > 0 {
+		c.tell(balance.Local, told)
+	}
+}
+
 // cordon puts a server out or back. Called twice it does no more than once.
 func (c *Core) cordon(e Cordon) {
 	r, listed := c.listed[e.Server]
@@ -669,10 +736,17 @@
 			by[e.Server] = e.At
 		} else {
 			delete(by, e.Server)
-			if r.Started <= since { // else the list has told of the start, and knows better when that was
+			if r.Started <= since && e.By < Judged { // else the list has told of the start, and knows better when that was
 				c.since[e.Server] = e.At
 			}
 		}
+		if e.By >= Judged {
+			c.order[e.Server] = e.Order
+			if !e.Out && !c.isJudged(e.Server) {
+				delete(c.order, e.Server)
+			}
+		}
+		c.guard(e.Server)
 		if listed {
 			c.tell(balance.Local, []balance.Replica{c.overlay(r)})
 		}
@@ -765,6 +839,9 @@
 		return
 	}
 	a.over = true
+	if c.cfg.Saw != nil {
+		c.cfg.Saw(a.Replica, a.Query.Class, o, time.Duration(c.now-a.sent)*time.Microsecond)
+	}
 	p := a.p
 	p.live--
 	if o == balance.OK && !p.over && v != nil {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lapislever/balance"
+	"lapislever/internal/verdict"
 )
 
 // fake is a backend that notes what it is told, and a client that notes its answers.
@@ -367,3 +368,62 @@
 		t.Fatal("servers that are gone pile up")
 	}
 }
+
+// A server that is judged sick drains as one that operators put out, but for what the guard leaves in: the
+// partner of one that an operator puts out is in again at once, and out once that one is back. Back from a
+// judgement it counts as just started.
+func TestJudgedServersAreGuarded(t *testing.T) {
+	k := start(t, settings())
+	k.cfg.Guard = func(listed []verdict.Holder, sick []uint64) map[uint64]bool {
+		return verdict.Guard(listed, sick, 1, 1, 0.5)
+	}
+	k.tell(Listed{Mode: balance.Full, Replicas: []balance.Replica{{ID: 1, State: balance.Ready, Size: 1},
+		{ID: 2, State: balance.Ready, Size: 1}}})
+	judge := func(id balance.ReplicaID, by Author, out bool, order uint64) {
+		k.tell(Cordon{Server: id, By: by, Out: out, Order: order, Sure: true})
+	}
+	states := func(one, two balance.State) {
+		t.Helper()
+		if a, b := k.overlay(k.listed[1]).State, k.overlay(k.listed[2]).State; a != one || b != two {
+			t.Fatalf("states %d and %d, not %d and %d", a, b, one, two)
+		}
+	}
+	judge(2, Judged, true, 7)
+	states(balance.Ready, balance.Draining)
+	judge(1, JudgedHere, true, 9)
+	states(balance.Ready, balance.Draining) // later: the last one stays
+	k.cordon(1, true)
+	states(balance.Draining, balance.Ready) // an operator's word goes before evidence
+	k.f.calls = nil
+	k.tell(k.query("a", 1))
+	if len(k.f.calls) != 1 || k.f.calls[0][0].Replica != 2 {
+		t.Fatalf("%d calls", len(k.f.calls))
+	}
+	k.cordon(1, false)
+	states(balance.Ready, balance.Draining)
+	judge(2, Judged, false, 7)
+	states(balance.Draining, balance.Ready)
+	if k.overlay(k.listed[2]).Started == 0 {
+		t.Error("one that is back counts as warm")
+	}
+	judge(1, JudgedHere, false, 9)
+	states(balance.Ready, balance.Ready)
+	if len(k.order)+len(k.judged) > 0 {
+		t.Errorf("%d orders, %d judged are kept", len(k.order), len(k.judged))
+	}
+}
+
+// BenchmarkOverlay is the look-up of verdicts on the way of a list's line to the module, with a hundred out.
+func BenchmarkOverlay(b *testing.B) {
+	k := &Core{since: map[balance.ReplicaID]balance.Micros{}, judged: map[uint64]bool{}}
+	for i := range k.outs {
+		k.outs[i] = map[balance.ReplicaID]balance.Micros{}
+	}
+	for i := range balance.ReplicaID(100) {
+		k.outs[ByFleet][i] = 1
+	}
+	b.ReportAllocs()
+	for i := range b.N {
+		k.overlay(balance.Replica{ID: balance.ReplicaID(i % 200), State: balance.Ready})
+	}
+}
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -40,6 +40,9 @@
 		Detect struct {
 			Period int `toml:"period_ms,omitempty"`
 		} `toml:"detect,omitempty"`
+		Evidence struct {
+			Share *float64 `toml:"share,omitempty"` // of all nodes, that may be out by evidence; 0: none is
+		} `toml:"evidence,omitempty"`
 	} `toml:"fleet"`
 	Limits []Limit `toml:"limit,omitempty"`
 
@@ -109,6 +112,12 @@
 	}
 	f.Check(x.Detect.Period >= 20 && x.Detect.Period <= 60_000, "fleet.detect.period_ms",
 		"%d is not within 20 and 60000", x.Detect.Period)
+	if x.Evidence.Share == nil {
+		share := defaultShare
+		x.Evidence.Share = &share
+	}
+	f.Check(*x.Evidence.Share >= 0 && *x.Evidence.Share <= 0.5, "fleet.evidence.share",
+		"%g is not within 0 and 0.5", *x.Evidence.Share)
 	c.keys = &keyring{}
 	if x.Keys != "" {
 		path := x.Keys
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -35,6 +35,8 @@
 	toModule  byte = 1 // between the decision modules
 	toVerdict byte = 2 // between the tables of verdicts
 	toQuota   byte = 3 // between the shares of limits
+
+	toEvidence byte = 4 // between juries
 )
 
 // Status is what the door shows: the form of GET /admin/fleet.
@@ -75,6 +77,8 @@
 	TurnedDown   int64            `json:"turned_down"`
 	Told         int64            `json:"module_messages_sent"`
 	ToldUs       int64            `json:"module_messages_received"`
+	SickGiven    int64            `json:"sick_given"`      // verdicts by evidence that this member gave
+	SickHeld     int64            `json:"sick_held_back"`  // and did not, as enough were out (each period)
 	Differ       []string         `json:"settings_differ"` // alive members whose roster differs from this one's
 	Conflict     string           `json:"conflict,omitempty"`
 	CrashKnownMS int64            `json:"crash_known_within_ms"`
@@ -110,7 +114,8 @@
 	kept    *membership.View
 
 	keep     keeper // the view's owner's
-	carry    Apply
+	jurors   jurors
+	host     atomic.Pointer[Host] // of Begin; empty before
 	toApply  chan verdict.Change
 	verdicts atomic.Pointer[Verdicts]
 	limits   []*limiter // as the file's order is; fixed
@@ -145,6 +150,10 @@
 	f.verdicts.Store(&Verdicts{Verdicts: []VerdictStatus{}})
 	f.keep.Spreader = verdict.NewSpreader(verdict.NewTable(cfg.Fleet.Name), f.viewConfig().Seed,
 		membership.MostApp)
+	f.jurors.jury = verdict.NewJury(verdict.Voter{Name: cfg.Fleet.Name, Zone: cfg.Fleet.Zone},
+		cfg.Period().Microseconds(), membership.MostApp)
+	f.jurors.zones = map[string]string{}
+	f.host.Store(&Host{})
 	f.openLimits(given != nil)
 	f.show.Store(&Status{Self: cfg.Fleet.Name, Members: []MemberStatus{}})
 	if given == nil {
@@ -173,11 +182,10 @@
 }
 
 // Begin starts to take part: as a new process, or from where another process of this member has stopped.
-// carry carries verdicts out here; nil: nothing does.
-func (f *Fleet) Begin(from *Handover, carry Apply) error {
+func (f *Fleet) Begin(from *Handover, host Host) error {
 	var v *membership.View
 	var err error
-	f.carry = carry
+	f.host.Store(&host)
 	now := f.now()
 	f.each(func(s *quota.Share) {
 		if from != nil {
@@ -315,7 +323,7 @@
 	was, is := &f.cfg.Fleet, &fresh.Fleet
 	for name, differs := range map[string]bool{"fleet.name": was.Name != is.Name,
 		"fleet.zone": was.Zone != is.Zone, "fleet.listen": was.Listen != is.Listen,
-		"fleet.detect": was.Detect != is.Detect, "limit": !sameLimits(f.cfg.Limits, fresh.Limits)} {
+		"fleet.detect": was.Detect != is.Detect, "fleet.evidence": *was.Evidence.Share != *is.Evidence.Share, "limit": !sameLimits(f.cfg.Limits, fresh.Limits)} {
 		if differs {
 			kept = append(kept, name)
 		}
@@ -380,10 +388,13 @@
 				err = errFull
 			}
 		}
-		f.drops[slices.Index(openErrors, err)].Add(1)
+		f.drop(err)
 	}
 }
 
+// drop counts a datagram that is dropped, by the reason.
+func (f *Fleet) drop(why error) { f.drops[slices.Index(openErrors, why)].Add(1) }
+
 // own holds the view until the run's end.
 func (f *Fleet) own(r *run) {
 	defer r.done.Done()
@@ -456,6 +467,8 @@
 		f.hearVerdict(h)
 	case toQuota:
 		f.hearLimit(v, h)
+	case toEvidence:
+		f.hearEvidence(v, h)
 	case toModule:
 		f.toldUs.Add(1)
 		select {
@@ -520,7 +533,7 @@
 	s.Figures = Figures{PeriodMS: period, Health: g.Health, Sent: g.Sent, SentBytes: g.SentBytes,
 		Received: g.Received, Dropped: f.dropped(g), Probes: g.Probes, ProbesFailed: g.Failed, Votes: g.Votes,
 		Refuted: g.Refuted, Syncs: g.Syncs, Stalls: g.Stalls, Rejoins: g.Rejoins, TurnedDown: g.TurnedDown,
-		Told: f.told.Load(), ToldUs: f.toldUs.Load(),
+		Told: f.told.Load(), ToldUs: f.toldUs.Load(), SickGiven: f.jurors.given, SickHeld: f.jurors.held,
 		Differ: differ, CrashKnownMS: int64(crashPeriods(s.Alive)) * period,
 		SettledMS: settlePeriods * period, ForgottenMS: map[string]int64{
 			"left": membership.ForgetLeft * period, "dead": membership.ForgetDead * period}}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -71,6 +71,8 @@
 b1 = "nowhere"
 [fleet.detect]
 period_ms = 1
+[fleet.evidence]
+share = 0.7
 `
 	_, err = Load(write(t, dir, "bad.toml", bad))
 	if err == nil {
@@ -80,7 +82,7 @@
 		"bad.toml:5: fleet.join: 10.0.0.1:7946 is there twice", "bad.toml:6: fleet.keys", "short.keys:1",
 		"bad.toml:7: fleet.roster: b1 is there twice", "bad.toml:7: fleet.roster: lacks this member",
 		"bad.toml:8: fleet.most", "bad.toml:9: unknown key fleet.colour", "bad.toml:11: fleet.route.b1",
-		"bad.toml:13: fleet.detect.period_ms"} {
+		"bad.toml:13: fleet.detect.period_ms", "bad.toml:15: fleet.evidence.share"} {
 		if !strings.Contains(err.Error(), want) {
 			t.Errorf("not told: %s", want)
 		}
@@ -179,7 +181,7 @@
 		t.Fatal(err)
 	}
 	defer f.Close()
-	if err := f.Begin(nil, nil); err != nil {
+	if err := f.Begin(nil, Host{}); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := Open(c, standin.Quiet(), nil); err == nil {
--- a/internal/fleet/verdicts.go
+++ b/internal/fleet/verdicts.go
@@ -34,6 +34,16 @@
 type Verdicts struct {
 	Verdicts []VerdictStatus `json:"verdicts"`
 	Told     bool            `json:"told"` // this process has taken in what another one knew
+	Seen     []SeenStatus    `json:"seen"` // what this member itself has seen of nodes that may be sick
+}
+
+// SeenStatus is what this member has seen of one data node.
+type SeenStatus struct {
+	Node    string `json:"node"`
+	Good    int    `json:"good"` // attempts that were served in time since the first bad one
+	Bad     int    `json:"bad"`  // that came to nothing
+	Late    int    `json:"late"` // that took far longer than is usual
+	SinceMS int64  `json:"since_ms"`
 }
 
 // VerdictStatus is one verdict as the door shows it. Times are in Unix milliseconds by the clock here.
@@ -63,7 +73,7 @@
 	for {
 		select {
 		case c := <-f.toApply:
-			if f.carry != nil && !f.carry(c) {
+			if f.host.Load().Carry != nil && !f.host.Load().Carry(c) {
 				return
 			}
 			f.call(func(*membership.View) {
@@ -105,16 +115,18 @@
 		}
 		k.Tick(now, peers)
 		f.tendLimits(v, now, names)
+		f.tendJury(v, now)
 	}
 	sends, changes := k.Take()
 	for _, c := range changes {
-		if c.Verdict.Kind == verdict.Setting { // there is nothing to carry out
+		f.acquit(c)
+		if !f.concerns(&c.Verdict) { // there is nothing to carry out
 			k.Applied(c.Verdict)
-			k.Push(f.now(), c.Verdict)
-			continue
 		}
-		f.log.Info("fleet verdict", "kind", c.Verdict.String(), "what", c.Verdict.What, "holds", c.Holds,
-			"by", c.Verdict.By, "at", c.Verdict.Member, "reason", c.Verdict.Reason)
+		if c.Verdict.Kind != verdict.Setting {
+			f.log.Info("fleet verdict", "kind", c.Verdict.String(), "what", c.Verdict.What, "holds", c.Holds,
+				"by", c.Verdict.By, "at", c.Verdict.Member, "reason", c.Verdict.Reason)
+		}
 		k.Push(f.now(), c.Verdict)
 	}
 	more, _ := k.Take()
@@ -122,7 +134,7 @@
 		v.Say(s.To, toVerdict, s.Data)
 	}
 	for _, c := range changes {
-		if c.Verdict.Kind != verdict.Setting {
+		if f.concerns(&c.Verdict) {
 			k.pending = append(k.pending, c)
 		}
 	}
@@ -141,7 +153,7 @@
 // hearVerdict takes in another member's message on verdicts.
 func (f *Fleet) hearVerdict(h membership.Heard) {
 	if !f.keep.Receive(f.now(), h.From, h.Data) {
-		f.drops[slices.Index(openErrors, errMessage)].Add(1)
+		f.drop(errMessage)
 	}
 }
 
@@ -177,7 +189,11 @@
 }
 
 // Verdicts is what the door shows.
-func (f *Fleet) Verdicts() *Verdicts { return f.verdicts.Load() }
+func (f *Fleet) Verdicts() *Verdicts {
+	v := *f.verdicts.Load()
+	v.Seen = f.seen()
+	return &v
+}
 
 // Told tells that this process has taken in what other members knew.
 func (f *Fleet) Told() bool { return f.verdicts.Load().Told }
@@ -191,6 +207,14 @@
 	done := make(chan struct{})
 	if !f.call(func(*membership.View) {
 		defer close(done)
+		if !v.On && v.Kind == verdict.Node {
+			if ill := f.pardon(&v); len(ill) > 0 {
+				given, err = ill[0], nil
+				if l, ok := f.keep.Line(f.now(), v.Kind, v.What); !ok || !l.On {
+					return
+				}
+			}
+		}
 		if !v.On {
 			if l, ok := f.keep.Line(f.now(), v.Kind, v.What); !ok || !l.On {
 				err = ErrNothing
@@ -210,7 +234,7 @@
 		looked := make(chan struct{})
 		if !f.call(func(*membership.View) {
 			defer close(looked)
-			l, ok := f.keep.Line(f.now(), v.Kind, v.What)
+			l, ok := f.keep.Line(f.now(), given.Kind, given.What)
 			if ok && l.Stamp == given.Stamp && l.Member == given.Member {
 				s = f.status(l, *f.alive.Load(), time.Now().UnixMilli())
 			} else { // another has said otherwise since
@@ -231,3 +255,14 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 }
+
+// pardon takes back what holds of a node by evidence, with an operator's word, and returns that.
+func (f *Fleet) pardon(v *verdict.Verdict) (given []verdict.Verdict) {
+	for _, x := range f.keep.Evidence(f.now(), v.What) {
+		x.On, x.By, x.Reason, x.Span = false, v.By, v.Reason, 0
+		if x, err := f.keep.Say(f.now(), time.Now().UnixMilli(), x); err == nil {
+			given = append(given, x)
+		}
+	}
+	return given
+}
--- a/internal/kiosk/front.go
+++ b/internal/kiosk/front.go
@@ -162,6 +162,18 @@
 	f.core.Post(core.Listed{Mode: balance.Full, Replicas: replicas})
 }
 
+// ServerName is a server's name by its number; false: there is none.
+func (f *Front) ServerName(id balance.ReplicaID) (string, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name := range f.listed {
+		if core.ServerID(name) == id {
+			return name, true
+		}
+	}
+	return "", false
+}
+
 // Adopt takes in what a file that was read anew says of the servers. It has been checked whole. What takes a
 // restart is named in the log.
 func (f *Front) Adopt(fresh *Front) {
--- a/internal/platform/fleet.go
+++ b/internal/platform/fleet.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"time"
 
+	"lapislever/balance"
 	"lapislever/internal/core"
 	"lapislever/internal/fleet"
 	lnet "lapislever/internal/net"
@@ -64,7 +65,7 @@
 	if k.fleet == nil || k.upgrade.place != nil {
 		return nil
 	}
-	if err := k.fleet.Begin(nil, k.carryVerdict); err != nil {
+	if err := k.fleet.Begin(nil, k.fleetHost()); err != nil {
 		return err
 	}
 	return k.awaitFleet()
@@ -76,14 +77,76 @@
 		k.carryPrefix(c)
 		return true
 	}
-	id := core.ServerID(c.Verdict.What)
-	if !k.core.Bar(id, core.ByFleet, c.Holds) {
+	name, _ := c.Verdict.Node()
+	id := core.ServerID(name)
+	by := core.ByFleet
+	switch c.Verdict.Kind {
+	case verdict.Sick:
+		by = core.Judged
+	case verdict.Path:
+		by = core.JudgedHere
+	}
+	if !k.core.Bar(id, by, c.Holds, c.Verdict.Stamp) {
 		return false
 	}
-	k.upgrade.pass(id, core.ByFleet, c.Holds)
+	if by == core.ByFleet { // what is judged the next process hears with the table
+		k.upgrade.pass(id, by, c.Holds)
+	}
 	return true
 }
 
+// fleetHost is this process as the fleet's part needs it.
+func (k *Coordinator) fleetHost() fleet.Host {
+	return fleet.Host{Carry: k.carryVerdict, Name: k.nodeName,
+		Number: func(name string) uint64 { return uint64(core.ServerID(name)) },
+		Nodes:  func() int { return int(k.core.Counts().Listed.Load()) }}
+}
+
+// nodeName is the name of a data node, on whichever way it is reached.
+func (k *Coordinator) nodeName(node uint64) (string, bool) {
+	if name, ok := k.nodes.Name(balance.ReplicaID(node)); ok {
+		return name, true
+	}
+	for _, x := range k.extras {
+		if n, ok := x.(interface {
+			ServerName(balance.ReplicaID) (string, bool)
+		}); ok {
+			if name, ok := n.ServerName(balance.ReplicaID(node)); ok {
+				return name, true
+			}
+		}
+	}
+	return "", false
+}
+
+// witness has the fleet hear how attempts end, as far as that says something of the node.
+func (k *Coordinator) witness(id balance.ReplicaID, class int, o balance.Outcome, took time.Duration) {
+	end := verdict.Broken
+	switch o {
+	case balance.OK:
+		end = verdict.Served
+	case balance.TimedOut:
+		end = verdict.Unheard
+	case balance.Cancelled:
+		end = verdict.GivenUp
+	case balance.Busy, balance.NotSent:
+		return
+	}
+	k.fleet.Saw(uint64(id), class, end, took)
+}
+
+// judge has evidence against data nodes count, where the fleet's file says so.
+func (k *Coordinator) judge(conf *core.Config) {
+	if !k.cfg.Fleet.Judges() {
+		return
+	}
+	m := &k.cfg.Module
+	conf.Saw = k.witness
+	conf.Guard = func(listed []verdict.Holder, sick []uint64) map[uint64]bool {
+		return verdict.Guard(listed, sick, m.Cells, m.Reach, k.cfg.Fleet.SickShare())
+	}
+}
+
 // carryPrefix tells the gates, where there are any, of a word on a prefix.
 func (k *Coordinator) carryPrefix(c verdict.Change) {
 	p, err := netip.ParsePrefix(c.Verdict.What)
@@ -162,7 +225,7 @@
 	case <-k.stop:
 		return
 	}
-	if err := k.fleet.Begin(from, k.carryVerdict); err != nil {
+	if err := k.fleet.Begin(from, k.fleetHost()); err != nil {
 		k.log.Error("no part in the fleet", "err", err)
 	}
 }
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -188,6 +188,16 @@
 	}
 }
 
+// Name is a node's name by its number; false: there is none.
+func (n *Nodes) Name(id balance.ReplicaID) (string, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if x := n.nodes[id]; x != nil {
+		return x.name, true
+	}
+	return "", false
+}
+
 // retire lets a connection take nothing new: it ends now if nothing is out on it, else after that.
 func (c *nodeConn) retire() {
 	c.mu.Lock()
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -133,6 +133,7 @@
 		if len(cfg.Fleet.Limits) > 0 {
 			conf.Admit = k.allow
 		}
+		k.judge(&conf)
 	}
 	w := &watcher{cfg: cfg, log: log, nodes: k.nodes, post: post, on: make(chan bool, 16),
 		fetch: make(chan struct{}, 16), move: make(chan string), stop: k.stop, whole: make(chan struct{}),
--- a/internal/promql/front.go
+++ b/internal/promql/front.go
@@ -220,6 +220,14 @@
 // Settle takes new settings in.
 func (f *Front) Settle(s balance.Settings) { f.rules.Store(&s.Classes[f.class]) }
 
+// ServerName is a server's name by its number; false: there is none.
+func (f *Front) ServerName(id balance.ReplicaID) (string, bool) {
+	if s := f.servers[id]; s != nil {
+		return s.name, true
+	}
+	return "", false
+}
+
 // Backend takes the front's parts to their servers.
 func (f *Front) Backend() core.Backend { return f }
 
--- /dev/null
+++ b/internal/rig/evidence_test.go
@@ -0,0 +1,233 @@
+package rig
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+)
+
+// judged are the verdicts by evidence at a member's door: kind and what.
+func (m *Member) judged() (out []string) {
+	reply, err := m.Call("GET", "/admin/verdicts", "")
+	if err != nil || reply.Status != 200 {
+		return []string{"?"}
+	}
+	var v struct {
+		Verdicts []struct{ Kind, What, By string }
+	}
+	_ = json.Unmarshal(reply.Body, &v)
+	for _, x := range v.Verdicts {
+		if x.By == "evidence" {
+			out = append(out, x.Kind+" "+x.What)
+		}
+	}
+	return out
+}
+
+// illRig is five members in two zones before eight data nodes, with a short period, so that an illness is told
+// and over in seconds.
+func illRig(t *testing.T, share float64, seed uint64, edit ...string) *Rig {
+	t.Helper()
+	r, err := New(Config{Dir: t.TempDir(), Period: period / 2, Members: 5, Nodes: 8, Seed: seed, Rate: 40,
+		Limits: fmt.Sprintf("[fleet.evidence]\nshare = %g\n", share), Edit: edit})
+	if err != nil {
+		t.Fatal(err)
+	}
+	closeAfter(t, r)
+	for _, m := range r.Members() {
+		if err := m.Start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	awaitSettled(t, r, "start")
+	return r
+}
+
+// Measured: what sick nodes still get and how long sound ones are out, with verdicts by evidence, without, and
+// without the modules' messages too (each finds out alone). LAPISLEVER_LONG=1 prints the table.
+func TestMeasureEvidence(t *testing.T) {
+	if os.Getenv("LAPISLEVER_LONG") == "" {
+		t.Skip("a long measurement")
+	}
+	type trial struct {
+		name  string
+		begin func(r *Rig)
+		sick  []string
+	}
+	zone := func(r *Rig, z string, node string, f Fault) {
+		for _, m := range r.Members() {
+			if m.Zone == z {
+				r.Link(m.Name, node, f)
+			}
+		}
+	}
+	trials := []trial{
+		{"failing for all", func(r *Rig) { r.Sicken(0, Failing) }, []string{"n0"}},
+		{"slow for all", func(r *Rig) { r.Sicken(0, Slow) }, []string{"n0"}},
+		{"deaf for all", func(r *Rig) { r.Sicken(0, Deaf) }, []string{"n0"}},
+		{"deaf to one zone", func(r *Rig) { zone(r, "praha", "n0", Fault{Cut: true}) }, nil},
+		{"one member's links sick", func(r *Rig) {
+			for i := range 8 {
+				r.Link("m01", fmt.Sprint("n", i), Fault{DelayMS: 600})
+			}
+		}, nil},
+		{"two of a shard", func(r *Rig) { r.Sicken(0, Failing); r.Sicken(2, Deaf) }, []string{"n0", "n2"}},
+		{"a blink", func(r *Rig) {
+			r.Sicken(0, Deaf)
+			time.AfterFunc(500*time.Millisecond, func() { r.Sicken(0, Sound) })
+		}, nil},
+		{"failing, cut in 3 and 2", func(r *Rig) {
+			r.cut([][]string{{"m00", "m01", "m02"}, {"m03", "m04"}}, false, Fault{})
+			r.Sicken(0, Failing)
+		}, []string{"n0"}},
+	}
+	const span = 20 * time.Second
+	for _, x := range trials {
+		for _, way := range []struct {
+			name  string
+			share float64
+			edit  []string
+		}{{"evidence", 0.25, nil}, {"messages only", 0, nil}, {"alone", 0, []string{`"peers":true`, `"peers":false`}},
+			{"evidence, no messages", 0.25, []string{`"peers":true`, `"peers":false`}}} {
+			r := illRig(t, way.share, 61, way.edit...)
+			time.Sleep(4 * time.Second)
+			x.begin(r)
+			from := r.History.now()
+			wrongOut := map[string]float64{} // node-seconds that sound nodes are out by a member's door
+			known := -1.0
+			for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(250 * time.Millisecond) {
+				for _, m := range r.Members() {
+					for _, v := range m.judged() {
+						wrongOut[v] += 0.25
+						if known < 0 {
+							known = (r.History.now() - from) / 1000
+						}
+					}
+				}
+			}
+			const second = 1000.0
+			got, in := 0, map[string]float64{}
+			seen := map[string]map[int]int{}
+			for _, e := range r.History.Events() {
+				if e.Kind == KindPart && e.MS > from {
+					if seen[e.Who] == nil {
+						seen[e.Who] = map[int]int{}
+					}
+					seen[e.Who][int((e.MS-from)/second)]++
+				}
+			}
+			for i := range 8 {
+				node := fmt.Sprint("n", i)
+				for s := range int(span / time.Second) {
+					switch n := seen[node][s]; {
+					case slices.Contains(x.sick, node):
+						got += n
+						if n > 0 {
+							in["wrongly in"]++
+						}
+					case n == 0:
+						in["wrongly out"]++
+					}
+				}
+			}
+			late, bad, total := 0, 0, 0
+			for _, e := range r.History.Events() {
+				if e.Kind == KindAnswer && e.MS > from {
+					total++
+					if e.Status != 200 {
+						bad++
+					} else if e.Took > 400 {
+						late++
+					}
+				}
+			}
+			t.Logf("%-24s %-22s sick got %4d parts, node-seconds %v, judged after %.1f s, member-seconds out %v, "+
+				"queries %d late %d not served %d", x.name, way.name, got, in, known, wrongOut, total, late, bad)
+			r.Close()
+		}
+	}
+}
+
+// allJudged tells that all members that run hold just these judgements.
+func allJudged(r *Rig, want ...string) func() bool {
+	return func() bool {
+		for _, m := range r.Running() {
+			if got := m.judged(); !slices.Equal(got, want) {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// A node that fails for all is out at all, nothing more is sent to it, and it is back by itself once its time
+// is over. One that a zone can't reach is out for that zone alone. A member whose own links are sick accuses
+// everybody, and nothing comes of it. An operator's word goes before evidence.
+func TestEvidenceHoldsForTheFleet(t *testing.T) {
+	r := illRig(t, 0.25, 62)
+	if !within(patience, func() bool { return parts(r, "n0", 0, 1e12) > 20 && parts(r, "n1", 0, 1e12) > 20 }) {
+		t.Fatal("the nodes get nothing anyhow")
+	}
+	r.Sicken(0, Failing)
+	if !within(patience, allJudged(r, "node_sick n0")) {
+		t.Fatalf("%v at m00", r.Member("m00").judged())
+	}
+	out := r.History.now()
+	r.Sicken(0, Sound)
+	time.Sleep(10 * period)
+	if n := parts(r, "n0", out+50, 1e12); n > 0 {
+		t.Errorf("%d parts went to a node that is out", n)
+	}
+	if !within(patience, allJudged(r)) || !within(patience, func() bool { return parts(r, "n0", out, 1e12) > 10 }) {
+		t.Fatal("the node is never back")
+	}
+	for _, m := range r.Members() {
+		if m.Zone == "praha" {
+			r.Link(m.Name, "n1", Fault{Cut: true})
+		}
+	}
+	if !within(2*patience, allJudged(r, "path_sick n1@praha")) {
+		for _, m := range r.Members() {
+			reply, err := m.Call("GET", "/admin/verdicts", "")
+			t.Logf("%s: %s %v", m.Name, reply.Body, err)
+		}
+		t.Fatal("n1 is not judged")
+	}
+	at := r.History.now()
+	if !within(patience, func() bool { return parts(r, "n1", at, 1e12) > 10 }) {
+		t.Error("the other zone does not use the node either")
+	}
+	status, s := r.Member("m03").say(t, "uncordon", "n1", "?wait=2s")
+	if status != 200 || len(s.Missing) > 0 {
+		t.Errorf("%d %+v", status, s)
+	}
+	if !within(patience, allJudged(r)) {
+		t.Error("an operator's word does not go before evidence")
+	}
+	for _, m := range r.Members() {
+		r.Link(m.Name, "n1", Fault{})
+	}
+	for i := range 8 {
+		r.Link("m01", fmt.Sprint("n", i), Fault{Cut: true})
+	}
+	for range 40 {
+		time.Sleep(period / 2)
+		for _, m := range r.Members() {
+			if got := m.judged(); len(got) > 0 {
+				t.Fatalf("%s holds %v: one member's word", m.Name, got)
+			}
+		}
+	}
+	for i := range 8 {
+		r.Link("m01", fmt.Sprint("n", i), Fault{})
+	}
+	if !r.Quiesce(patience) {
+		t.Error("queries without an answer")
+	}
+	for _, f := range Check(r.History.Events(), false) {
+		t.Error(f)
+	}
+}
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -40,11 +40,12 @@
 	Members int
 	Seed    uint64
 	Period  time.Duration
-	Nodes   int     // data nodes; they hold the two cells in turn
-	Rate    float64 // queries a second and member
-	Keys    string  // text of the key file; empty: no keys
-	Limits  string  // [[limit]] tables of the fleet's file
-	Most    int     // members that there may be; 0: 64
+	Nodes   int      // data nodes; they hold the two cells in turn
+	Rate    float64  // queries a second and member
+	Keys    string   // text of the key file; empty: no keys
+	Limits  string   // [[limit]] tables of the fleet's file
+	Most    int      // members that there may be; 0: 64
+	Edit    []string // changes of Settings: old and new text in turn
 	Out     *History
 }
 
@@ -70,6 +71,7 @@
 	links   map[[2]string]func(Fault) // by from and to
 	closers []func()
 	nodes   []*standin.Node
+	ill     []atomic.Int32 // of nodes: an Illness
 	stop    chan struct{}
 	wait    sync.WaitGroup
 	asked   atomic.Int64
@@ -136,8 +138,9 @@
 	if err := r.findNet(); err != nil {
 		return nil, err
 	}
+	r.ill = make([]atomic.Int32, cfg.Nodes)
 	for i := range cfg.Nodes {
-		n, err := standin.OpenNode(r.host(200+i, portNode), r.answer(fmt.Sprintf("n%d", i)))
+		n, err := standin.OpenNode(r.host(200+i, portNode), r.answer(i))
 		if err != nil {
 			r.Close()
 			return nil, err
@@ -180,10 +183,38 @@
 	return fmt.Sprintf("127.%d.%d.%d:%d", r.net[0], r.net[1]+1, last, port)
 }
 
-// answer serves each part with its id.
-func (r *Rig) answer(node string) func(p standin.Part) (string, string) {
+// Illness is what is wrong with a data node.
+type Illness int32
+
+// What may be wrong with a data node.
+const (
+	Sound   Illness = iota
+	Failing         // answers each part with an error
+	Slow            // answers each after slowBy
+	Deaf            // answers none
+)
+
+const slowBy = 700 * time.Millisecond
+
+// Sicken has a data node be ill from now on, or sound again.
+func (r *Rig) Sicken(node int, i Illness) {
+	r.History.Note(Event{Kind: KindFault, Who: fmt.Sprintf("n%d", node), What: fmt.Sprint("illness ", i)})
+	r.ill[node].Store(int32(i))
+}
+
+// answer serves each part with its id, as far as the node is sound.
+func (r *Rig) answer(node int) func(p standin.Part) (string, string) {
+	name := fmt.Sprintf("n%d", node)
 	return func(p standin.Part) (string, string) {
-		r.History.Note(Event{Kind: KindPart, Who: node, Query: p.ID})
+		r.History.Note(Event{Kind: KindPart, Who: name, Query: p.ID})
+		switch Illness(r.ill[node].Load()) {
+		case Failing:
+			return "E", ""
+		case Slow:
+			time.Sleep(slowBy)
+		case Deaf:
+			return "", ""
+		}
 		return "S", "v:" + p.ID
 	}
 }
@@ -388,7 +419,7 @@
 	}
 	conf := fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"operator":%q,
 		"limits":{"cores":1,"memory_mb":192,"sockets":400},"settings":%s}`, m.Name, m.Front(),
-		r.relayHost(1+m.index, portDisco), m.Door(), Settings)
+		r.relayHost(1+m.index, portDisco), m.Door(), strings.NewReplacer(r.cfg.Edit...).Replace(Settings))
 	if err := os.WriteFile(m.file("config.json"), []byte(conf), 0o600); err != nil {
 		return nil, err
 	}
--- a/internal/verdict/spread.go
+++ b/internal/verdict/spread.go
@@ -251,7 +251,7 @@
 	v.Stamp = r.U64()
 	a, span := r.U64(), r.U64()
 	v.What, v.Member, v.By, v.Reason = r.Text(MaxWhat), r.Text(maxMember), r.Text(MaxBy), r.Text(MaxReason)
-	r.Bad = r.Bad || v.Word > Pin || v.Kind < Node || v.Kind > Setting || v.What == "" || a > ageMost ||
+	r.Bad = r.Bad || v.Word > Pin || v.Kind < Node || v.Kind > Path || v.What == "" || a > ageMost ||
 		span > ageMost
 	v.Span = Micros(span)
 	return v, Micros(a)
--- a/internal/verdict/table.go
+++ b/internal/verdict/table.go
@@ -35,6 +35,8 @@
 	Prefix                 // of clients' addresses
 	// Setting is a member's own settings of something that all have: What is NAME@MEMBER, Reason the text.
 	Setting
+	Sick // a data node that members have found sick, see Jury
+	Path // the same for the members of a zone: What is NODE@ZONE
 )
 
 // Word is what a verdict on a prefix says.
@@ -54,6 +56,10 @@
 		return "prefix_banned"
 	case v.Kind == Setting:
 		return "setting"
+	case v.Kind == Sick:
+		return "node_sick"
+	case v.Kind == Path:
+		return "path_sick"
 	}
 	return "node_out"
 }
