--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -736,7 +736,8 @@
 			by[e.Server] = e.At
 		} else {
 			delete(by, e.Server)
-			if r.Started <= since && e.By < Judged { // else the list has told of the start, and knows better when that was
+			// Else the list has told of the start, and knows better when that was, or it is the guard's to say.
+			if r.Started <= since && e.By < Judged {
 				c.since[e.Server] = e.At
 			}
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -323,7 +323,8 @@
 	was, is := &f.cfg.Fleet, &fresh.Fleet
 	for name, differs := range map[string]bool{"fleet.name": was.Name != is.Name,
 		"fleet.zone": was.Zone != is.Zone, "fleet.listen": was.Listen != is.Listen,
-		"fleet.detect": was.Detect != is.Detect, "fleet.evidence": *was.Evidence.Share != *is.Evidence.Share, "limit": !sameLimits(f.cfg.Limits, fresh.Limits)} {
+		"fleet.detect": was.Detect != is.Detect, "fleet.evidence": *was.Evidence.Share != *is.Evidence.Share,
+		"limit": !sameLimits(f.cfg.Limits, fresh.Limits)} {
 		if differs {
 			kept = append(kept, name)
 		}
--- a/internal/rig/evidence_test.go
+++ b/internal/rig/evidence_test.go
@@ -27,8 +27,8 @@
 	return out
 }
 
-// illRig is five members in two zones before eight data nodes, with a short period, so that an illness is told
-// and over in seconds.
+// illRig is five members in two zones before eight data nodes, with a short period, so that an illness is
+// told and over in seconds.
 func illRig(t *testing.T, share float64, seed uint64, edit ...string) *Rig {
 	t.Helper()
 	r, err := New(Config{Dir: t.TempDir(), Period: period / 2, Members: 5, Nodes: 8, Seed: seed, Rate: 40,
@@ -46,8 +46,8 @@
 	return r
 }
 
-// Measured: what sick nodes still get and how long sound ones are out, with verdicts by evidence, without, and
-// without the modules' messages too (each finds out alone). LAPISLEVER_LONG=1 prints the table.
+// Measured: what sick nodes still get and how long sound ones are out, with verdicts by evidence, without,
+// and without the modules' messages too (each finds out alone). LAPISLEVER_LONG=1 prints the table.
 func TestMeasureEvidence(t *testing.T) {
 	if os.Getenv("LAPISLEVER_LONG") == "" {
 		t.Skip("a long measurement")
@@ -84,14 +84,15 @@
 			r.Sicken(0, Failing)
 		}, []string{"n0"}},
 	}
+	mute := []string{`"peers":true`, `"peers":false`}
 	const span = 20 * time.Second
 	for _, x := range trials {
 		for _, way := range []struct {
 			name  string
 			share float64
 			edit  []string
-		}{{"evidence", 0.25, nil}, {"messages only", 0, nil}, {"alone", 0, []string{`"peers":true`, `"peers":false`}},
-			{"evidence, no messages", 0.25, []string{`"peers":true`, `"peers":false`}}} {
+		}{{"evidence", 0.25, nil}, {"messages only", 0, nil}, {"alone", 0, mute},
+			{"evidence, no messages", 0.25, mute}} {
 			r := illRig(t, way.share, 61, way.edit...)
 			time.Sleep(4 * time.Second)
 			x.begin(r)
@@ -181,7 +182,8 @@
 	if n := parts(r, "n0", out+50, 1e12); n > 0 {
 		t.Errorf("%d parts went to a node that is out", n)
 	}
-	if !within(patience, allJudged(r)) || !within(patience, func() bool { return parts(r, "n0", out, 1e12) > 10 }) {
+	used := func() bool { return parts(r, "n0", out, 1e12) > 10 }
+	if !within(patience, allJudged(r)) || !within(patience, used) {
 		t.Fatal("the node is never back")
 	}
 	for _, m := range r.Members() {
--- a/internal/verdict/evidence_test.go
+++ b/internal/verdict/evidence_test.go
@@ -12,8 +12,8 @@
 
 const simPeriod = 200_000
 
-// court is a fleet of juries on virtual time before data nodes that may be sick. Each member avoids a node for
-// a while after a bad outcome, as its module does.
+// court is a fleet of juries on virtual time before data nodes that may be sick. Each member avoids a node
+// for a while after a bad outcome, as its module does.
 type court struct {
 	rng     *rand.Rand
 	juries  []*Jury
@@ -268,8 +268,8 @@
 	}
 }
 
-// Sides that are cut off from each other together hold no more to be sick than the share, and a minority gives
-// no word that only one zone is behind.
+// Sides that are cut off from each other together hold no more to be sick than the share, and a minority
+// gives no word that only one zone is behind.
 func TestEvidenceWhileCut(t *testing.T) {
 	c := newCourt(5, 16, []string{"a", "b"}, 12, 3)
 	c.cut = func(a, b int) bool { return (a < 3) != (b < 3) }
--- a/internal/verdict/guard.go
+++ b/internal/verdict/guard.go
@@ -57,8 +57,8 @@
 }
 
 // Sick is the verdict that a judgement is, and whether it may be given: not while one holds, not on what
-// was seen before it ended, nor for a while after an operator has said otherwise. One that comes back sick is out for longer each time. name is the
-// node's.
+// was seen before it ended, nor for a while after an operator has said otherwise. One that comes back sick is
+// out for longer each time. name is the node's.
 func (t *Table) Sick(now, period Micros, name string, j Judgement) (v Verdict, ok bool) {
 	v = Verdict{Kind: Sick, What: name, On: true, By: "evidence", Reason: j.Reason, Span: sickSpan * period}
 	if j.Zone != "" {
@@ -84,7 +84,8 @@
 // Ill counts the nodes that are held to be sick at members of a zone; those judged for others do not count.
 func (t *Table) Ill(now Micros, zone string) (n int) {
 	for _, e := range t.entries {
-		if _, z := e.Node(); (e.Kind == Sick || e.Kind == Path && (zone == "" || z == zone)) && e.holds(now-e.born) {
+		_, z := e.Node()
+		if (e.Kind == Sick || e.Kind == Path && (zone == "" || z == zone)) && e.holds(now-e.born) {
 			n++
 		}
 	}
--- a/internal/verdict/jury.go
+++ b/internal/verdict/jury.go
@@ -253,6 +253,11 @@
 	c.reports[from.Name] = report{Tally: t, zone: from.Zone, sound: sound, at: now}
 }
 
+// lives tells that a member is alive.
+func (j *Jury) lives(who string) bool {
+	return slices.ContainsFunc(j.voters, func(v Voter) bool { return v.Name == who })
+}
+
 // ask has other members say what they have seen of the nodes that are cases here.
 func (j *Jury) ask(now Micros) {
 	quests := map[string][]byte{}
@@ -265,7 +270,7 @@
 		c := j.trials[id]
 		ill, since := 0, 0
 		for who, r := range c.reports {
-			if now-r.at > fresh*j.period || !slices.ContainsFunc(j.voters, func(v Voter) bool { return v.Name == who }) {
+			if now-r.at > fresh*j.period || !j.lives(who) {
 				delete(c.reports, who)
 				continue
 			}
@@ -452,8 +457,8 @@
 	z.firstAge = max(z.firstAge, r.age(now, period, r.First))
 }
 
-// sick tells that enough members have seen enough, and that it is long enough ago that who has seen nothing bad
-// would have told by now that the node is well. Where all have seen it they all avoid it anyway.
+// sick tells that enough members have seen enough, and that it is long enough ago that who has seen nothing
+// bad would have told by now that the node is well. Where all have seen it they all avoid it anyway.
 func (z *zoneCount) sick(need int) bool {
 	return z.accuse >= need && z.ill >= enough && z.ill >= z.good && z.firstAge >= lasting
 }
--- a/internal/verdict/witness.go
+++ b/internal/verdict/witness.go
@@ -28,8 +28,8 @@
 	outcomes = 3
 )
 
-// Tally is what one member has seen of one node: the bad outcomes of the present bout, and the good ones since
-// that began or since a judge has asked about, whichever are more.
+// Tally is what one member has seen of one node: the bad outcomes of the present bout, and the good ones
+// since that began or since a judge has asked about, whichever are more.
 type Tally struct {
 	Good, Bad, Late uint16
 	First           uint16 // how many periods ago the first bad one was
@@ -65,8 +65,8 @@
 func (w *Witness) slot(now Micros) Micros { return now / (Window / slots * w.period) }
 
 // late tells that a time is far over what is usual for a class, and counts it. The usual time is the median,
-// kept in one number that each outcome moves by a step (frugal streaming: Ma, Muthukrishnan and Sandler, 2013,
-// §3; the step is a factor here, as times of classes differ by orders of magnitude).
+// kept in one number that each outcome moves by a step (frugal streaming: Ma, Muthukrishnan and Sandler,
+// 2013, §3; the step is a factor here, as times of classes differ by orders of magnitude).
 func (w *Witness) late(class int, took Micros, counts bool) bool {
 	m, known := w.usual[class]
 	if !known {
@@ -158,7 +158,8 @@
 	short := func(x int) uint16 { return uint16(min(x, 1<<16-1)) }
 	n.turn(w.slot(now))
 	good := 0
-	for i := max(0, n.newest-slots+1, w.slot(now-Micros(periods)*w.period)+1); i <= n.newest; i++ { // whole slots
+	from := w.slot(now-Micros(periods)*w.period) + 1 // whole slots
+	for i := max(0, n.newest-slots+1, from); i <= n.newest; i++ {
 		good += int(n.good[i%slots])
 	}
 	if n.bad+n.late == 0 {
