Limit tenants, data nodes and what is open, and use the shares of the dead by votes

quota.Slots divides what may be open at a time in whole units, with loans that the lender counts for as long as what was let in on them may last; quota.Keys holds a rate for each tenant or node, with shares of their own for 10,000 and a sketch for the rest; quota.Tenure votes, for a term at a time, on who has the rest of a member's shares. The core asks a gate before a query is queued and before an attempt is sent.

Real processes: one of five killed, over 0.82 of the limit in use; open at a time and a rate for each through kill, cut, upgrade and stop, as the data nodes saw it.

Two faults found on the way: the socket to ask at was made after its process had closed (upgrade.open, seen as a directory that was not empty), and the rig's members had queries of one class only where their turns fell together.

--- a/internal/console/fleet.go
+++ b/internal/console/fleet.go
@@ -162,19 +162,28 @@
 			Over               float64 `json:"over_at_most"`
 			Stale              int64   `json:"stale_ms"`
 			Refused            int64
+			Kind               string
+			Keys               int
 		}
+		Holds []string
 	}
 	if done, err := f.get("/admin/limits", &v, out); done || err != nil {
 		return err
 	}
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(w,
-		"LIMIT\tA SECOND\tSHARE HERE\tUSED HERE\tLENT OR IN DOUBT\tOVER AT MOST\tOLDEST LOAN\tREFUSED")
+		"LIMIT\tKIND\tAMOUNT\tSHARE HERE\tUSED HERE\tLENT OR IN DOUBT\tOVER AT MOST\tOLDEST LOAN\tREFUSED\tKEYS")
 	for _, x := range v.Limits {
-		fmt.Fprintf(w, "%s\t%.4g\t%.4g\t%.4g\t%.4g\t%.4g\t%s\t%d\n", x.Name, x.Limit, x.Share, x.Used, x.InDoubt,
-			x.Over, span(x.Stale), x.Refused)
+		fmt.Fprintf(w, "%s\t%s\t%.4g\t%.4g\t%.4g\t%.4g\t%.4g\t%s\t%d\t%d\n", x.Name, x.Kind, x.Limit, x.Share,
+			x.Used, x.InDoubt, x.Over, span(x.Stale), x.Refused, x.Keys)
 	}
-	return w.Flush()
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	if len(v.Holds) > 0 {
+		fmt.Fprintf(out, "has by a majority's votes what is not the floor of: %s\n", strings.Join(v.Holds, " "))
+	}
+	return nil
 }
 
 func dash(s string) string {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -87,7 +87,10 @@
 	Client   Client
 	Via      Backend // takes the parts to their servers
 	Data     any     // what the front and its backend share
+	Caller   string  // who asks, by the name that limits know; empty: nobody has said
+	Ticket   any     // the gate's
 
+	admitted bool
 	id       uint32
 	number   float32
 	parts    []*part
@@ -164,7 +167,9 @@
 	Shard   int
 	Replica balance.ReplicaID
 	Timeout time.Duration // how long the core will wait
+	Ticket  any           // the gate's
 
+	passed bool // by the gate
 	p      *part
 	number int
 	sent   balance.Micros
@@ -287,6 +292,19 @@
 func (PeerMessage) isEvent()  {}
 func (stopping) isEvent()     {}
 
+// Gate limits what is let in and sent beside what the module decides. No method may block.
+type Gate interface {
+	// Admit is asked before a query is queued, from any goroutine: whether it may be let in, and if not after
+	// how long and why. Ended is called once for each that was, when it has its final answer or is gone.
+	Admit(q *Query) (ok bool, after time.Duration, why string)
+	Ended(q *Query)
+	// Send is asked before an attempt is handed to its backend, by the core's goroutine; one that may not be
+	// is to the module as if the server had sent it back unseen. Over is called once for each that may, at its
+	// end.
+	Send(a *Attempt) bool
+	Over(a *Attempt)
+}
+
 // Config is what a core is made of.
 type Config struct {
 	Settings balance.Settings
@@ -296,9 +314,8 @@
 	Lister   Lister
 	Log      *slog.Logger
 	Counts   *Counts // where this core's figures go; nil: nowhere
-	// Admit is asked before a query of a class is queued: whether it may be let in, and if not after how long
-	// and why. It is called from any goroutine and must not block. Nil: all may.
-	Admit func(class int) (ok bool, after time.Duration, why string)
+	// Gate is asked before a query is queued and before an attempt is sent. Nil: all may.
+	Gate Gate
 	// Saw is told how each attempt ended, by the core's goroutine. It must not wait. Nil: nobody is.
 	Saw func(id balance.ReplicaID, class int, o balance.Outcome, took time.Duration)
 	// Guard chooses which of the servers that are out by evidence, the first to be judged first, may be so.
@@ -385,17 +402,19 @@
 // limit turns away has had its final answer by then.
 func (c *Core) Submit(q *Query) bool {
 	c.cfg.Counts.Active.Add(1)
-	if c.cfg.Admit != nil {
-		if ok, after, why := c.cfg.Admit(q.Class); !ok {
+	if c.cfg.Gate != nil {
+		ok, after, why := c.cfg.Gate.Admit(q)
+		if !ok {
 			c.reply(q, Final{Ending: Refused, RetryAfter: after, Why: why})
 			return true
 		}
+		q.admitted = true
 	}
 	select {
 	case c.queue <- q:
 		return true
 	default:
-		c.cfg.Counts.Active.Add(-1)
+		c.left(q)
 		return false
 	}
 }
@@ -576,7 +595,7 @@
 		if e.Query.open {
 			c.events = append(c.events, balance.Event{Kind: balance.ClientGone, ID: e.Query.id})
 			c.end(e.Query)
-			c.cfg.Counts.Active.Add(-1)
+			c.left(e.Query)
 		}
 	case Listed:
 		c.learn(&e)
@@ -840,6 +859,9 @@
 		return
 	}
 	a.over = true
+	if a.passed {
+		c.cfg.Gate.Over(a)
+	}
 	if c.cfg.Saw != nil {
 		c.cfg.Saw(a.Replica, a.Query.Class, o, time.Duration(c.now-a.sent)*time.Microsecond)
 	}
@@ -1014,6 +1036,12 @@
 	a.Timeout = time.Duration(max(0, until-c.now)) * time.Microsecond
 	p.tries = append(p.tries, a)
 	p.live++
+	if c.cfg.Gate != nil {
+		if a.passed = c.cfg.Gate.Send(a); !a.passed {
+			c.settle(a, balance.Busy, nil, nil)
+			return
+		}
+	}
 	heap.Push(&c.timers, timer{at: until, a: a})
 	c.sends = append(c.sends, a)
 }
@@ -1051,10 +1079,19 @@
 
 // reply hands out the final answer of a query that is not open, or not any more.
 func (c *Core) reply(q *Query, f Final) {
-	c.cfg.Counts.Active.Add(-1)
+	c.left(q)
 	q.Client.Final(f)
 }
 
+// left books that a query that was submitted is over.
+func (c *Core) left(q *Query) {
+	c.cfg.Counts.Active.Add(-1)
+	if q.admitted {
+		q.admitted = false
+		c.cfg.Gate.Ended(q)
+	}
+}
+
 // end forgets a query. What it still has out is withdrawn by the module or runs into its time-out.
 func (c *Core) end(q *Query) {
 	q.open = false
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -133,7 +133,7 @@
 	}
 	for i := range c.Limits {
 		at := fmt.Sprintf("limit[%d]", i+1)
-		c.Limits[i].check(f, at, c.Size())
+		c.Limits[i].check(f, at, c.Size(), len(x.Roster))
 		for _, before := range c.Limits[:i] {
 			f.Check(before.Name != c.Limits[i].Name, at+".name", "%q is there twice", before.Name)
 		}
@@ -156,9 +156,11 @@
 }
 
 // Place is this member's among the roster, by name, or 0.
-func (c *Config) Place() int {
-	roster := slices.Sorted(slices.Values(c.Fleet.Roster))
-	return max(0, slices.Index(roster, c.Fleet.Name))
+func (c *Config) Place() int { return max(0, c.place()) }
+
+// place is the same, or -1 where there is no roster.
+func (c *Config) place() int {
+	return slices.Index(slices.Sorted(slices.Values(c.Fleet.Roster)), c.Fleet.Name)
 }
 
 // stamp sums up what has to be equal at all members. It is never 0.
--- a/internal/fleet/evidence.go
+++ b/internal/fleet/evidence.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"lapislever/internal/core"
 	"lapislever/internal/membership"
 	"lapislever/internal/verdict"
 )
@@ -25,8 +26,6 @@
 	Carry Apply
 	// Name is the name of a data node by its number; false: it is not known here.
 	Name func(node uint64) (string, bool)
-	// Number is the number of a data node by its name.
-	Number func(name string) uint64
 	// Nodes is how many data nodes are listed.
 	Nodes func() int
 }
@@ -40,6 +39,9 @@
 	held  int64             // and held back, as too many were out
 }
 
+// ServerNumber is the number of a data node by its name: the module's, as peers name nodes by it.
+func ServerNumber(name string) uint64 { return uint64(core.ServerID(name)) }
+
 // Judges tells that evidence counts at this member.
 func (c *Config) Judges() bool { return c.Fleet.Evidence.Share != nil && *c.Fleet.Evidence.Share > 0 }
 
@@ -134,14 +136,10 @@
 	if c.Holds || c.Verdict.Kind != verdict.Sick && c.Verdict.Kind != verdict.Path {
 		return
 	}
-	host := f.host.Load()
-	if host.Number == nil {
-		return
-	}
 	name, _ := c.Verdict.Node()
 	f.jurors.mu.Lock()
 	defer f.jurors.mu.Unlock()
-	f.jurors.jury.Acquit(host.Number(name))
+	f.jurors.jury.Acquit(ServerNumber(name))
 }
 
 // seen is what this member has seen of nodes that may be sick, for the door.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -118,7 +118,9 @@
 	host     atomic.Pointer[Host] // of Begin; empty before
 	toApply  chan verdict.Change
 	verdicts atomic.Pointer[Verdicts]
-	limits   []*limiter // as the file's order is; fixed
+	limits   []*limiter    // as the file's order is; fixed
+	tenure   *quota.Tenure // the view's owner's; nil: nobody votes
+	holds    atomic.Pointer[[]string]
 
 	conf       atomic.Pointer[Config] // in force
 	turnedDown int64                  // the view's owner's: times that others turned us down
@@ -186,14 +188,7 @@
 	var v *membership.View
 	var err error
 	f.host.Store(&host)
-	now := f.now()
-	f.each(func(s *quota.Share) {
-		if from != nil {
-			s.Inherit(now, from.Lent[s.Name])
-		} else {
-			s.Alone(now, true)
-		}
-	})
+	f.beginLimits(from)
 	if from != nil {
 		for _, x := range from.Verdicts {
 			f.keep.Merge(f.now(), x.Verdict, x.Age)
@@ -254,9 +249,8 @@
 	f.mu.Lock()
 	f.kept = v
 	f.mu.Unlock()
-	h := &Handover{View: v.Snapshot(), Verdicts: f.keep.Save(f.now()), Lent: map[string][]quota.Lend{}}
-	now := f.now()
-	f.each(func(s *quota.Share) { h.Lent[s.Name] = s.Split(now) })
+	h := &Handover{View: v.Snapshot(), Verdicts: f.keep.Save(f.now())}
+	f.handLimits(h)
 	return h
 }
 
@@ -267,9 +261,8 @@
 	f.kept = nil
 	f.mu.Unlock()
 	if v != nil {
-		now := f.now()
-		f.each(func(s *quota.Share) { s.Alone(now, true) })
-		v.Again(now)
+		f.againLimits()
+		v.Again(f.now())
 		f.start(v)
 	}
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -5,6 +5,8 @@
 	"crypto/rand"
 	"encoding/base64"
 	"errors"
+	"io"
+	"log/slog"
 	"net"
 	"os"
 	"path/filepath"
@@ -205,3 +207,109 @@
 		t.Fatalf("%+v", st)
 	}
 }
+
+// What a limit's table may say, and what is told of one that may not.
+func TestLimitsOfTheFile(t *testing.T) {
+	const head = "[fleet]\nname = \"a\"\nzone = \"z\"\nlisten = \"127.0.0.1:7946\"\n" +
+		"roster = [\"a\", \"b\", \"c\"]\n[[limit]]\nname = \"l\"\n"
+	for text, want := range map[string]string{
+		"class = \"c\"\nrate = 9\nburst = 3":                        "",
+		"tenant = \"*\"\nrate = 9\nburst = 3":                       "",
+		"server = \"n\"\nconcurrent = 3":                            "",
+		"class = \"c\"\nrate = 9\nburst = 3\nfloor = 0.2":           "",
+		"rate = 9\nburst = 3":                                       "one of class, tenant and server",
+		"class = \"c\"\nserver = \"n\"\nrate = 9\nburst = 3":        "one of class, tenant and server",
+		"class = \"*\"\nrate = 9\nburst = 3":                        "is for tenants and servers",
+		"class = \"c\"\nrate = 9\nburst = 2":                        "limit[1].burst",
+		"class = \"c\"\nrate = 9\nburst = 3\nconcurrent = 4":        "limit[1].concurrent: goes without",
+		"class = \"c\"\nconcurrent = 2":                             "limit[1].concurrent",
+		"class = \"c\"\nconcurrent = 4.5":                           "limit[1].concurrent",
+		"tenant = \"*\"\nconcurrent = 4":                            "not for each",
+		"class = \"c\"\nrate = 9\nburst = 3\nlongest_ms = 5":        "limit[1].longest_ms",
+		"class = \"c\"\nrate = 9\nburst = 3\nfloor = 0.01":          "limit[1].floor",
+		"server = \"*\"\nrate = 9\nburst = 3\nfloor = 0.5":          "limit[1].floor",
+		"class = \"c\"\nrate = 9\nburst = 3\n[fleet.evidence]\nx=1": "unknown key",
+	} {
+		c, err := Load(write(t, t.TempDir(), "f.toml", head+text+"\n"))
+		switch {
+		case want == "" && err != nil, want != "" && (err == nil || !strings.Contains(err.Error(), want)):
+			t.Errorf("%q: %v, not %q", text, err, want)
+		case err == nil && c.Limits[0].Floor == 0:
+			t.Errorf("%q: no floor", text)
+		}
+	}
+	const most = "[fleet]\nname = \"a\"\nzone = \"z\"\nlisten = \"127.0.0.1:7946\"\nmost = 3\n[[limit]]\n" +
+		"name = \"l\"\nclass = \"c\"\nrate = 9\nburst = 3\nfloor = 0.5\n"
+	if _, err := Load(write(t, t.TempDir(), "f.toml", most)); err == nil || !strings.Contains(err.Error(), "roster") {
+		t.Errorf("a rest without a roster that votes: %v", err)
+	}
+}
+
+// Several limits may bind one request: what one has let in and another turns away is used by neither.
+func TestSeveralLimitsBindOneRequest(t *testing.T) {
+	c, err := Load(write(t, t.TempDir(), "f.toml", `[fleet]
+name = "a"
+zone = "z"
+listen = "127.0.0.1:17946"
+most = 1
+[[limit]]
+name = "posts"
+class = "post"
+concurrent = 3
+[[limit]]
+name = "tenants"
+tenant = "*"
+rate = 0.001
+burst = 2
+[[limit]]
+name = "node"
+server = "n0"
+concurrent = 1
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := Open(c, slog.New(slog.NewTextHandler(io.Discard, nil)), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	f.beginLimits(&Handover{}) // as one that need not wait for loans of a predecessor
+	ends := time.Now().Add(time.Second)
+	var tickets []Ticket
+	for i := range 4 {
+		ticket, ok, after, limit := f.Allow("post", "t", ends)
+		if ok != (i < 2) || !ok && (limit != "tenants" || after <= 0) {
+			t.Fatalf("%d: %v by %q, after %v", i, ok, limit, after)
+		}
+		tickets = append(tickets, ticket)
+	}
+	last, ok, _, _ := f.Allow("post", "", ends)
+	if !ok {
+		t.Fatal("units of those that were turned away are not free")
+	}
+	if _, ok, _, limit := f.Allow("post", "u", ends); ok || limit != "posts" {
+		t.Fatalf("a fourth one is open: %v %q", ok, limit)
+	}
+	f.Done(last)
+	if _, ok, _, _ := f.Allow("post", "u", ends); !ok {
+		t.Fatal("what has ended still counts")
+	}
+	if _, ok, _, _ := f.Allow("other", "v", ends); !ok {
+		t.Fatal("a limit binds another class")
+	}
+	one, ok := f.AllowSend(ServerNumber("n0"), ends)
+	if _, again := f.AllowSend(ServerNumber("n0"), ends); !ok || again {
+		t.Fatal("not one at a time at n0")
+	}
+	if _, ok := f.AllowSend(ServerNumber("n1"), ends); !ok {
+		t.Fatal("the limit binds another node")
+	}
+	f.Done(one)
+	if _, ok := f.AllowSend(ServerNumber("n0"), ends); !ok {
+		t.Fatal("an attempt that has ended still counts")
+	}
+	for _, x := range tickets {
+		f.Done(x)
+	}
+}
--- a/internal/fleet/verdicts.go
+++ b/internal/fleet/verdicts.go
@@ -25,9 +25,10 @@
 
 // Handover is what the next process of this member needs.
 type Handover struct {
-	View     membership.Snapshot     `json:"view"`
-	Verdicts []verdict.Saved         `json:"verdicts"`
-	Lent     map[string][]quota.Lend `json:"lent"` // of each limit
+	View     membership.Snapshot `json:"view"`
+	Verdicts []verdict.Saved     `json:"verdicts"`
+	Lent     map[string]Handed   `json:"lent"` // of each limit
+	Tenure   *quota.Held         `json:"tenure,omitempty"`
 }
 
 // Verdicts is the form of GET /admin/verdicts.
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -147,7 +147,7 @@
 // no platform learns from the fleet's file how many of them there may be.
 func (c *Config) JoinFleet(f *fleet.Config) error {
 	for i, l := range f.Limits {
-		if !slices.Contains(c.Classes, l.Class) {
+		if l.Class != "" && !slices.Contains(c.Classes, l.Class) {
 			return fmt.Errorf("limit[%d].class: there is no class %q, only %s", i+1, l.Class,
 				strings.Join(c.Classes, ", "))
 		}
--- a/internal/platform/fleet.go
+++ b/internal/platform/fleet.go
@@ -98,8 +98,7 @@
 // fleetHost is this process as the fleet's part needs it.
 func (k *Coordinator) fleetHost() fleet.Host {
 	return fleet.Host{Carry: k.carryVerdict, Name: k.nodeName,
-		Number: func(name string) uint64 { return uint64(core.ServerID(name)) },
-		Nodes:  func() int { return int(k.core.Counts().Listed.Load()) }}
+		Nodes: func() int { return int(k.core.Counts().Listed.Load()) }}
 }
 
 // nodeName is the name of a data node, on whichever way it is reached.
@@ -202,10 +201,47 @@
 	}
 }
 
-// allow asks the fleet's limits.
-func (k *Coordinator) allow(class int) (bool, time.Duration, string) {
-	ok, after, limit := k.fleet.Allow(k.front.conf.Load().Classes[class])
-	return ok, after, "limit " + limit + " of the fleet"
+// limits asks the fleet's limits.
+type limits struct{ k *Coordinator }
+
+// Admit asks whether a query may be let in.
+func (l limits) Admit(q *core.Query) (bool, time.Duration, string) {
+	t, ok, after, limit := l.k.fleet.Allow(l.k.front.conf.Load().Classes[q.Class], q.Caller, q.Deadline)
+	if !ok {
+		return false, after, "limit " + limit + " of the fleet"
+	}
+	if !t.Empty() {
+		q.Ticket = t
+	}
+	return true, 0, ""
+}
+
+// Ended gives back what a query held.
+func (l limits) Ended(q *core.Query) {
+	if t, ok := q.Ticket.(fleet.Ticket); ok {
+		q.Ticket = nil
+		l.k.fleet.Done(t)
+	}
+}
+
+// Send asks whether an attempt may be sent.
+func (l limits) Send(a *core.Attempt) bool {
+	if !l.k.fleet.LimitsServers() {
+		return true
+	}
+	t, ok := l.k.fleet.AllowSend(uint64(a.Replica), time.Now().Add(a.Timeout))
+	if !t.Empty() {
+		a.Ticket = t
+	}
+	return ok
+}
+
+// Over gives back what an attempt held.
+func (l limits) Over(a *core.Attempt) {
+	if t, ok := a.Ticket.(fleet.Ticket); ok {
+		a.Ticket = nil
+		l.k.fleet.Done(t)
+	}
 }
 
 // Failed hears once why this process must not go on serving.
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -137,7 +137,8 @@
 		}
 	}
 	q := &core.Query{Name: r.Header.Get("X-Call-Id"), Class: class, Via: f.via,
-		Repeat: r.Header.Get("X-Again") == "1", Key: r.Header.Get("Idempotency-Key")}
+		Repeat: r.Header.Get("X-Again") == "1", Key: r.Header.Get("Idempotency-Key"),
+		Caller: r.Header.Get("X-Caller")}
 	if !isToken(q.Name) {
 		return fail(400, "X-Call-Id is missing or malformed")
 	}
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -131,7 +131,7 @@
 		}
 		conf.Peers = k.fleet
 		if len(cfg.Fleet.Limits) > 0 {
-			conf.Admit = k.allow
+			conf.Gate = limits{k}
 		}
 		k.judge(&conf)
 	}
--- a/internal/platform/upgrade.go
+++ b/internal/platform/upgrade.go
@@ -325,11 +325,13 @@
 	u.k.halve(!alone)
 }
 
-// open lets a successor ask for the sockets. It replaces whatever is there: the last process that serves is
-// the one to ask.
-func (u *upgrade) open() {
-	if u.path == "" {
-		return
+// listen makes the socket to ask at, in place of whatever is there: the last process that serves is the one
+// to ask. Nil: this process is over, or the socket is refused.
+func (u *upgrade) listen() *net.UnixListener {
+	u.mu.Lock() // once close is through nothing is made any more
+	defer u.mu.Unlock()
+	if u.path == "" || u.closed {
+		return nil
 	}
 	temp := fmt.Sprintf("%s.%d", u.path, os.Getpid())
 	_ = os.Remove(temp)
@@ -343,14 +345,18 @@
 	if err != nil {
 		_ = os.Remove(temp)
 		u.k.log.Info("no upgrade without a pause: the socket for it is refused", "err", err)
-		return
-	}
-	u.mu.Lock()
-	if u.closed {
-		_ = l.Close()
+		return nil
 	}
 	u.asked = l
-	u.mu.Unlock()
+	return l
+}
+
+// open lets a successor ask for the sockets.
+func (u *upgrade) open() {
+	l := u.listen()
+	if l == nil {
+		return
+	}
 	for {
 		c, err := l.AcceptUnix()
 		if errors.Is(err, net.ErrClosed) {
--- a/internal/promql/front.go
+++ b/internal/promql/front.go
@@ -220,6 +220,9 @@
 // Settle takes new settings in.
 func (f *Front) Settle(s balance.Settings) { f.rules.Store(&s.Classes[f.class]) }
 
+// tenantHeader names the tenant, as range-query services with several tenants have it.
+const tenantHeader = "X-Scope-OrgID"
+
 // ServerName is a server's name by its number; false: there is none.
 func (f *Front) ServerName(id balance.ReplicaID) (string, bool) {
 	if s := f.servers[id]; s != nil {
@@ -363,7 +366,7 @@
 		return nil
 	}
 	cq := &core.Query{Name: "range-" + strconv.FormatUint(f.number.Add(1), 10), Class: f.class,
-		Deadline: j.deadline, Client: j, Via: f, Data: j}
+		Deadline: j.deadline, Client: j, Via: f, Data: j, Caller: r.Header.Get(tenantHeader)}
 	for s := range f.place.Shards {
 		cq.Parts = append(cq.Parts, core.PartSpec{Shard: s, Weight: 1})
 	}
--- a/internal/quota/exhaustive_test.go
+++ b/internal/quota/exhaustive_test.go
@@ -72,8 +72,8 @@
 		}
 	}
 	for _, f := range x.flying {
-		put(uint64(f.from), uint64(f.to), uint64(f.data[0]), name(binary.LittleEndian.Uint64(f.data[5:])),
-			uint64(binary.LittleEndian.Uint32(f.data[13:])), binary.LittleEndian.Uint64(f.data[17:]))
+		put(uint64(f.from), uint64(f.to), uint64(f.data[0]), name(binary.LittleEndian.Uint64(f.data[9:])),
+			uint64(binary.LittleEndian.Uint32(f.data[17:])), binary.LittleEndian.Uint64(f.data[21:]))
 	}
 	return xxhash.Sum64(b)
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -3,12 +3,7 @@
 // and starts no goroutine. docs/LIMITS.md has the design and the proof.
 package quota
 
-import (
-	"encoding/binary"
-	"math"
-	"math/rand/v2"
-	"slices"
-)
+import "math/rand/v2"
 
 // Micros is a time or a span in microseconds, of a clock that only goes forward.
 type Micros = int64
@@ -21,18 +16,30 @@
 	renewAt   = 0.5  // of the term
 	spare     = 1.2  // times the demand that a member keeps for itself, or asks for
 	leastLoan = 0.02 // of a share
-	asks      = 4    // members asked a period
+	leastAsks = 4    // members asked a period, at the least and the most,
+	mostAsks  = 64
+	asksFor   = 1.25 // and for each share that lacks
 	demandFor = 2.0  // periods over which demand is smoothed as it falls
-	mostLoans = 512  // out, or in, at a time
+	mostLoans = 2048 // out, or in, at a time
 	giveBack  = 2    // periods without need after which a loan goes back
 )
 
 // Limit is a limit over the whole fleet.
 type Limit struct {
 	Name  string
-	ID    uint32  // the same at all members
+	ID    uint64  // the same at all members
 	Rate  float64 // a second
 	Burst float64 // and at once
+	// Floor is the part of each member's share that is its own whatever happens; of the rest a majority says
+	// whose it is. 0 counts as 1: all is its own.
+	Floor float64
+}
+
+func (l *Limit) floorPart() float64 {
+	if l.Floor <= 0 || l.Floor > 1 {
+		return 1
+	}
+	return l.Floor
 }
 
 // Send is a message to another member.
@@ -41,52 +48,40 @@
 	Data []byte
 }
 
-// loan is one between two members.
-type loan struct {
-	id    uint64
-	with  string
-	rate  float64
-	until Micros
-	seq   uint32 // of the last request for it
-	asked Micros // and when that was sent
-}
-
-// Share is one member's part in one limit.
+// Share is one member's part in one limit by rate.
 type Share struct {
 	Limit
+	book
 	members int
-	period  Micros
-	rng     *rand.PCG
-
-	usable  Micros  // from then on the whole share is
-	void    bool    // nothing is
-	part    float64 // of the share that is this process's: an upgrade leaves a part to another one
-	lent    []loan
-	in      []loan
-	pending []loan // asked for, not granted yet
-
-	rate   float64 // in use now
-	own    float64 // of it, what is not borrowed
-	change Micros  // when that changes by itself next
+
+	usable Micros  // from then on the whole share is
+	void   bool    // nothing is
+	part   float64 // of the share that is this process's: an upgrade leaves a part to another one
+
+	rate   float64        // in use now
+	own    float64        // of it, what is not borrowed
+	avail  [parts]float64 // and of that, what is of which part
+	change Micros         // when that changes by itself next
 	tokens float64
 	at     Micros
 
-	count   float64 // asked for in this period
-	demand  float64 // a second, smoothed
-	idle    int     // periods in which no loan was needed
-	seq     uint32
-	usedAt  Micros
-	used    int64
-	usedWas float64 // a second, of the last whole second
-	Granted int64
-	Refused int64
-	Forget  bool // planted, for checkers: a start does not wait for its predecessor's loans
+	count    float64 // asked for in this period
+	demand   float64 // a second, smoothed
+	idle     int     // periods in which no loan was needed
+	usedAt   Micros
+	lastTake Micros // when something was last asked for here, or by another member
+	used     int64
+	usedWas  float64 // a second, of the last whole second
+	Granted  int64
+	Refused  int64
+	Forget   bool // planted, for checkers: a start does not wait for its predecessor's loans
 }
 
 // NewShare returns the share of a member that starts from nothing.
 func NewShare(l Limit, members int, period Micros, seed uint64, now Micros) *Share {
-	s := &Share{Limit: l, members: members, period: period, rng: rand.NewPCG(seed, 9), part: 1, at: now,
-		usedAt: now, usable: now + span(period, 1+3*Drift)}
+	s := &Share{Limit: l, book: book{id: l.ID, period: period, rng: rand.NewPCG(seed, 9)}, members: members,
+		part: 1, at: now, usedAt: now}
+	s.usable = now + s.waitFor()
 	s.settle(now)
 	return s
 }
@@ -97,27 +92,40 @@
 // share is what this member owns. A clock that runs fast lets more in by as much.
 func (s *Share) share() float64 { return s.Rate / (1 + Drift) / float64(s.members) }
 
+// amount is what this member has of a part, lent or not.
+func (s *Share) amount(p part, now Micros) float64 {
+	f := s.floorPart()
+	if p != floor {
+		f = 1 - f
+	}
+	return s.share() * s.part * f * float64(s.entitled.count(p, now))
+}
+
 // settle finds the rate that is in use from now on.
 func (s *Share) settle(now Micros) {
-	alive := func(l loan) bool { return l.until <= now }
-	s.lent, s.in = slices.DeleteFunc(s.lent, alive), slices.DeleteFunc(s.in, alive)
-	s.change = math.MaxInt64
-	s.own = s.share() * s.part
-	if now < s.usable && !s.Forget {
-		s.own, s.change = min(s.own, s.share()*Kept), s.usable
+	s.expire(now)
+	s.change = min(s.nextEnd(), s.next(now))
+	s.own = 0
+	waits := now < s.usable && !s.Forget
+	for p := range parts {
+		have := s.amount(p, now)
+		if waits && p == floor {
+			have = min(have, s.share()*Kept)
+		} else if waits {
+			have = 0
+		}
+		s.avail[p] = max(0, have-s.out(p))
+		s.own += s.avail[p]
 	}
-	for i := range s.lent {
-		s.own -= s.lent[i].rate
-		s.change = min(s.change, s.lent[i].until)
+	if waits {
+		s.change = min(s.change, s.usable)
 	}
-	s.own = max(0, s.own)
 	if s.void {
-		s.own, s.in = 0, nil
+		s.own, s.avail, s.in = 0, [parts]float64{}, nil
 	}
 	s.rate = s.own
 	for i := range s.in {
 		s.rate += s.in[i].rate
-		s.change = min(s.change, s.in[i].until)
 	}
 	s.tokens = min(s.tokens, s.cap())
 }
@@ -146,6 +154,7 @@
 // Take asks whether one more may be let in now. If not, it returns after how long it may be.
 func (s *Share) Take(now Micros) (ok bool, after Micros) {
 	s.refill(now)
+	s.lastTake = now
 	s.count++
 	if s.tokens >= 1 {
 		s.tokens--
@@ -160,29 +169,6 @@
 	return false, Micros((1 - s.tokens) / s.rate * 1e6)
 }
 
-// The kinds of message: kind, limit (4), loan (8), request (4), rate (8).
-const (
-	msgAsk = 1 + iota
-	msgGrant
-	msgBack
-	msgSize = 1 + 4 + 8 + 4 + 8
-)
-
-func (s *Share) message(kind byte, l *loan, rate float64) []byte {
-	b := binary.LittleEndian.AppendUint32([]byte{kind}, s.ID)
-	b = binary.LittleEndian.AppendUint64(b, l.id)
-	b = binary.LittleEndian.AppendUint32(b, l.seq)
-	return binary.LittleEndian.AppendUint64(b, math.Float64bits(rate))
-}
-
-// IDOf is the limit that a message concerns; false: it is none.
-func IDOf(data []byte) (uint32, bool) {
-	if len(data) != msgSize || data[0] < msgAsk || data[0] > msgBack {
-		return 0, false
-	}
-	return binary.LittleEndian.Uint32(data[1:]), true
-}
-
 // Tick is to be called once a period, with the other members that are alive.
 func (s *Share) Tick(now Micros, peers []string) (out []Send) {
 	s.refill(now)
@@ -192,7 +178,7 @@
 	asked := s.count * 1e6 / float64(s.period)
 	s.demand = max(s.demand+(asked-s.demand)/demandFor, min(asked, s.Rate)*0.9) // it rises at once
 	s.count = 0
-	s.pending = slices.DeleteFunc(s.pending, func(l loan) bool { return now-l.asked > 2*s.period })
+	s.forgetAsked(now)
 	want := min(s.Rate, s.demand*spare)
 	lacks := want - s.rate
 	if s.void {
@@ -204,29 +190,20 @@
 	if s.idle >= giveBack {
 		out = append(out, s.giveBack(now, want)...)
 	}
-	for i := range s.in { // in time, so that a lost answer can be asked for once more
-		if l := &s.in[i]; s.idle == 0 && l.until-now < span(s.period, renewAt) {
-			out = append(out, s.ask(now, l, l.rate))
-		}
+	if s.idle == 0 {
+		out = append(out, s.renew(now)...)
 	}
-	if lacks <= leastLoan*s.share() || len(peers) == 0 || len(s.in)+len(s.pending) >= mostLoans {
+	if lacks <= leastLoan*s.share() {
 		return out
 	}
-	first := int(s.rng.Uint64() % uint64(len(peers)))
-	for i := range min(asks, len(peers)) {
-		// Each is asked for all that lacks: most grant little, and what is too much goes back by itself.
-		l := loan{id: s.rng.Uint64(), with: peers[(first+i)%len(peers)]}
-		s.pending = append(s.pending, l)
-		out = append(out, s.ask(now, &s.pending[len(s.pending)-1], lacks))
-	}
-	return out
+	return append(out, s.borrow(now, lacks, s.share(), peers)...)
 }
 
-// ask makes a request for a loan, or for it to go on.
-func (s *Share) ask(now Micros, l *loan, rate float64) Send {
-	s.seq++
-	l.seq, l.asked = s.seq, now
-	return Send{To: l.with, Data: s.message(msgAsk, l, rate)}
+// Entitle takes in from and until when this member has the rest of its own share, and those of others.
+func (s *Share) Entitle(now Micros, e Entitlement) {
+	s.refill(now)
+	s.entitle(e.windows(s.hold))
+	s.settle(now)
 }
 
 // giveBack gives back the loans without which there is enough. They are not used any more before anybody
@@ -242,68 +219,43 @@
 
 // Receive takes in a message of another member.
 func (s *Share) Receive(now Micros, from string, data []byte) (out []Send) {
-	if id, ok := IDOf(data); !ok || id != s.ID {
-		return nil
-	}
-	l := loan{with: from, id: binary.LittleEndian.Uint64(data[5:]), seq: binary.LittleEndian.Uint32(data[13:])}
-	rate := math.Float64frombits(binary.LittleEndian.Uint64(data[17:]))
-	if !(rate >= 0 && rate <= 1e12) {
+	kind, l, rate, ok := s.parse(from, data)
+	if !ok {
 		return nil
 	}
 	s.refill(now)
 	s.settle(now)
-	same := func(x loan) bool { return x.id == l.id && x.with == from }
-	switch data[0] {
+	switch kind {
 	case msgAsk:
-		i := slices.IndexFunc(s.lent, same)
-		if i < 0 {
-			if l.rate = min(rate, s.lendable(now)); l.rate < leastLoan*s.share() || len(s.lent) >= mostLoans {
-				return nil
+		out = s.grant(now, l, func() (float64, part) {
+			most, p := s.lendable(now)
+			if rate = min(rate, most); rate < leastLoan*s.share() {
+				return 0, p
 			}
-			s.lent = append(s.lent, l)
-			i = len(s.lent) - 1
-		} else if s.needed() {
-			return nil // it ends at its term
-		}
-		x := &s.lent[i]
-		x.until, x.seq = max(x.until, now+span(s.period, 1+Drift)), l.seq
-		s.settle(now) // it is out before it is granted
-		for k := range s.lent {
-			if same(s.lent[k]) {
-				out = append(out, Send{To: from, Data: s.message(msgGrant, &s.lent[k], s.lent[k].rate)})
-			}
-		}
+			return rate, p
+		}, func(p part) bool { return !s.needed() && s.amount(p, now) >= s.out(p) })
 	case msgGrant:
-		if i := slices.IndexFunc(s.in, same); i >= 0 {
-			if x := &s.in[i]; x.seq == l.seq {
-				x.until = max(x.until, x.asked+span(s.period, 1-2*Drift))
-				s.settle(now)
-			}
-			return nil
-		}
-		if i := slices.IndexFunc(s.pending, same); i >= 0 && s.pending[i].seq == l.seq {
-			x := s.pending[i]
-			s.pending = slices.Delete(s.pending, i, i+1)
-			x.rate, x.until = rate, x.asked+span(s.period, 1-2*Drift)
-			if x.until > now {
-				s.in = append(s.in, x)
-				s.settle(now)
-			}
-		}
+		s.granted(now, l, rate)
 	case msgBack:
-		s.lent = slices.DeleteFunc(s.lent, same)
-		s.settle(now)
+		s.back(l)
 	}
+	s.settle(now)
 	return out
 }
 
-// lendable is what a member can spare.
-func (s *Share) lendable(now Micros) float64 {
+// lendable is what a member can spare, of the part of which that is most.
+func (s *Share) lendable(now Micros) (float64, part) {
 	if s.void || now < s.usable && !s.Forget {
-		return 0
+		return 0, floor
 	}
 	keep := max(Kept*s.share(), min(s.share(), s.demand*spare))
-	return max(0, s.own-keep)
+	most, least := rest, [parts]float64{floor: Kept * s.share()}
+	for p := range parts {
+		if s.avail[p]-least[p] > s.avail[most]-least[most] {
+			most = p
+		}
+	}
+	return max(0, min(s.own-keep, s.avail[most]-least[most])), most
 }
 
 // needed tells that this member wants its share back.
@@ -321,27 +273,16 @@
 func (s *Share) Figures(now Micros) Figures {
 	s.refill(now)
 	f := Figures{Share: s.rate, Used: s.usedWas, InDoubt: max(0, s.share()-s.own)}
-	for i := range s.in {
-		f.Stale = max(f.Stale, now-s.in[i].asked)
-	}
+	f.Stale = s.stalest(now)
 	return f
 }
 
-// Lend is a loan that is out, as one process hands it to the next.
-type Lend struct {
-	ID   uint64  `json:"id"`
-	With string  `json:"with"`
-	Rate float64 `json:"rate"`
-	Left Micros  `json:"left"`
-}
-
 // Split leaves this process the part that is never lent, and returns what the next one has to know. What was
 // borrowed is given up.
 func (s *Share) Split(now Micros) (lent []Lend) {
 	s.refill(now)
-	for _, l := range s.lent {
-		lent = append(lent, Lend{l.id, l.with, l.rate, l.until - now})
-	}
+	lent = s.save(now)
+	s.entitle(window{}, nil)
 	s.in, s.lent, s.pending, s.part = nil, nil, nil, Kept
 	s.settle(now)
 	return lent
@@ -350,9 +291,7 @@
 // Inherit goes on with all but the part that the process before this one keeps; until Alone.
 func (s *Share) Inherit(now Micros, lent []Lend) {
 	s.refill(now)
-	for _, l := range lent {
-		s.lent = append(s.lent, loan{id: l.ID, with: l.With, rate: l.Rate, until: now + l.Left})
-	}
+	s.inherit(now, lent)
 	s.usable, s.part = now, 1-Kept
 	s.settle(now)
 }
@@ -376,7 +315,7 @@
 	}
 	s.refill(now)
 	if s.void = on; !on {
-		s.usable = max(s.usable, now+span(s.period, 1+3*Drift))
+		s.usable = max(s.usable, now+s.waitFor())
 	}
 	s.settle(now)
 }
@@ -401,7 +340,7 @@
 	s.refill(now)
 	s.part = 1
 	if unknown {
-		s.usable = now + span(s.period, 1+3*Drift)
+		s.usable = now + s.waitFor()
 	}
 	s.settle(now)
 }
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -45,10 +46,17 @@
 	Keys    string   // text of the key file; empty: no keys
 	Limits  string   // [[limit]] tables of the fleet's file
 	Most    int      // members that there may be; 0: 64
+	Roster  bool     // the members' names, instead of Most
 	Edit    []string // changes of Settings: old and new text in turn
 	Out     *History
 }
 
+// mostMembers is more than a rig ever has.
+const mostMembers = 64
+
+// callers is how many tenants ask in turn.
+const callers = 3
+
 const (
 	portFleet = 7946
 	portDoor  = 9901
@@ -72,9 +80,9 @@
 	closers []func()
 	nodes   []*standin.Node
 	ill     []atomic.Int32 // of nodes: an Illness
+	slowBy  atomic.Int64   // of those that are slow
 	stop    chan struct{}
 	wait    sync.WaitGroup
-	asked   atomic.Int64
 	quiet   atomic.Bool  // no new queries
 	busy    atomic.Int64 // queries that are being asked, or may yet be
 }
@@ -91,6 +99,7 @@
 	downs      atomic.Int64 // times that it was killed, stopped or ended
 	view       atomic.Pointer[View]
 	Mute       atomic.Bool // no queries of its own clients
+	asked      atomic.Int64
 }
 
 // View is what a member's door says of the fleet.
@@ -139,12 +148,14 @@
 		return nil, err
 	}
 	r.ill = make([]atomic.Int32, cfg.Nodes)
+	r.slowBy.Store(int64(slowBy))
 	for i := range cfg.Nodes {
 		n, err := standin.OpenNode(r.host(200+i, portNode), r.answer(i))
 		if err != nil {
 			r.Close()
 			return nil, err
 		}
+		n.Wide.Store(true)
 		r.nodes = append(r.nodes, n)
 		r.closers = append(r.closers, n.Close)
 	}
@@ -194,6 +205,7 @@
 	Deaf            // answers none
 )
 
+// slowBy is how long a slow node takes, where the rig does not say otherwise.
 const slowBy = 700 * time.Millisecond
 
 // Sicken has a data node be ill from now on, or sound again.
@@ -211,7 +223,7 @@
 		case Failing:
 			return "E", ""
 		case Slow:
-			time.Sleep(slowBy)
+			time.Sleep(time.Duration(r.slowBy.Load()))
 		case Deaf:
 			return "", ""
 		}
@@ -388,8 +400,16 @@
 func (m *Member) write(edit ...string) (env []string, err error) {
 	r := m.rig
 	var fleet strings.Builder
-	fmt.Fprintf(&fleet, "[fleet]\nname = %q\nzone = %q\nlisten = %q\nmost = %d\n", m.Name, m.Zone, m.fleetAddr(),
-		cmp.Or(r.cfg.Most, 64))
+	fmt.Fprintf(&fleet, "[fleet]\nname = %q\nzone = %q\nlisten = %q\n", m.Name, m.Zone, m.fleetAddr())
+	if r.cfg.Roster {
+		var names []string
+		for _, o := range r.members[:r.cfg.Members] {
+			names = append(names, strconv.Quote(o.Name))
+		}
+		fmt.Fprintf(&fleet, "roster = [%s]\n", strings.Join(names, ", "))
+	} else {
+		fmt.Fprintf(&fleet, "most = %d\n", cmp.Or(r.cfg.Most, 64))
+	}
 	var join, routes []string
 	for _, o := range r.members {
 		if o != m {
@@ -632,7 +652,9 @@
 
 // one sends one query. Its one final answer has to be its own, and nothing may follow it.
 func (m *Member) one(idle chan *lnet.Client) {
-	n := m.rig.asked.Add(1)
+	// Each member's queries are of each class in turn, and no two members' have one number.
+	k := m.asked.Add(1)
+	n := 2*(k/2*mostMembers+int64(m.index)) + k%2
 	id := fmt.Sprintf("q%06d", n)
 	class := []string{"rate-check", "exchange-post"}[n%2]
 	var c *lnet.Client
@@ -648,7 +670,8 @@
 		used = false
 	}
 	m.rig.History.Note(Event{Kind: KindQuery, Who: m.Name, Query: id})
-	head := [][2]string{{"X-Call-Id", id}, {"Idempotency-Key", "k" + id}}
+	head := [][2]string{{"X-Call-Id", id}, {"Idempotency-Key", "k" + id},
+		{"X-Caller", fmt.Sprint("t", n%callers)}}
 	do := func() (*lnet.Reply, error) {
 		return c.Do("POST", "/"+class, m.Front(), head,
 			[]byte(`{"slices":[{"slice":0,"mass":0.5},{"slice":1,"mass":0.5}],"filter":"c41e77d0"}`),
--- a/internal/rig/limit_test.go
+++ b/internal/rig/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -20,12 +21,17 @@
 
 // letIn are the moments, in ms, at which a query of the limited class first reached a data node.
 func letIn(r *Rig) (at []float64) {
+	return reached(r, func(n int) bool { return n%2 == 0 })
+}
+
+// reached are the moments at which a query that is meant, by its number, first reached a data node.
+func reached(r *Rig, meant func(n int) bool) (at []float64) {
 	seen := map[string]bool{}
 	for _, e := range r.History.Events() {
 		id, _, _ := strings.Cut(e.Query, ".")
 		var n int
 		_, _ = fmt.Sscanf(id, "q%d", &n)
-		if e.Kind == KindPart && n%2 == 0 && !seen[id] {
+		if e.Kind == KindPart && meant(n) && !seen[id] {
 			seen[id] = true
 			at = append(at, e.MS)
 		}
@@ -34,14 +40,16 @@
 }
 
 // overLimit names the first window in which more reached the data nodes than the limit and its bound allow.
-func overLimit(at []float64) string {
+func overLimit(at []float64) string { return overRate(at, limitRate, limitBurst) }
+
+func overRate(at []float64, rate, burst float64) string {
 	for _, span := range []float64{500, 1000, 3000, 10000} {
 		first := 0
 		for i, t := range at {
 			for at[first] <= t-span {
 				first++
 			}
-			if n, most := float64(i-first+1), limitRate*(span+jitter)/1000+limitBurst; n > most {
+			if n, most := float64(i-first+1), rate*(span+jitter)/1000+burst; n > most {
 				return fmt.Sprintf("%.0f in %.0f ms up to %.0f, where %.0f may be", n, span, t, most)
 			}
 		}
@@ -231,3 +239,194 @@
 		t.Errorf("a member for which there is no room has %.1f", share)
 	}
 }
+
+// holds are the members whose rest a member says that it has.
+func (m *Member) tenures() (of []string) {
+	reply, err := m.Call("GET", "/admin/limits", "")
+	if err != nil || reply.Status != 200 {
+		return nil
+	}
+	var v struct{ Holds []string }
+	_ = json.Unmarshal(reply.Body, &v)
+	return v.Holds
+}
+
+// The rest of a dead member's share is another's within 3 terms and what its death takes to be known, on the
+// side of a majority; back, the member has it again; and nothing is over, whatever the views are.
+func TestTheDeadsShareIsUsed(t *testing.T) {
+	const rate, burst = 50.0, 10.0
+	r := open(t, Config{Members: 5, Seed: 53, Rate: 40, Roster: true,
+		Limits: "[[limit]]\nname = \"rates\"\nclass = \"rate-check\"\nrate = 50.0\nburst = 10.0\n"})
+	awaitSettled(t, r, "start")
+	own := func(but ...string) func() bool {
+		return func() bool {
+			for _, m := range r.Running() {
+				if !slices.Contains(but, m.Name) && !slices.Equal(m.tenures(), []string{m.Name}) {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	if !within(patience, own()) {
+		t.Fatalf("m00 holds %v", r.Member("m00").tenures())
+	}
+	r.Member("m04").Kill()
+	heir := func() *Member {
+		for _, m := range r.Running() {
+			if slices.Contains(m.tenures(), "m04") {
+				return m
+			}
+		}
+		return nil
+	}
+	bound := time.Duration(CrashPeriods(5)+3*10) * period
+	if !within(bound+2*pollEvery, func() bool { return heir() != nil }) {
+		t.Fatal("nobody has the dead member's rest in time")
+	}
+	time.Sleep(13 * period) // a term and some, until it may be used
+	from := r.History.now()
+	time.Sleep(4 * time.Second)
+	n := 0
+	for _, at := range letIn(r) {
+		if at >= from && at < from+4000 {
+			n++
+		}
+	}
+	if got := float64(n) / 4; got < 0.82*rate { // of 0.9, and the four alone have 0.8
+		t.Errorf("%.1f of %.0f a second in use without one of five", got, rate)
+		for _, m := range r.Running() {
+			reply, err := m.Call("GET", "/admin/limits", "")
+			t.Logf("%s: %s %v", m.Name, reply.Body, err)
+		}
+	}
+	if err := r.Member("m04").Start(); err != nil {
+		t.Fatal(err)
+	}
+	if !within(patience, own()) {
+		t.Fatalf("m04 is back and holds %v", r.Member("m04").tenures())
+	}
+	// Two are cut off: nobody has their rest but by votes, and what they have after a term is the floor.
+	r.cut([][]string{{"m00", "m01", "m02"}, {"m03", "m04"}}, false, Fault{})
+	if !within(patience, func() bool {
+		return len(r.Member("m03").tenures())+len(r.Member("m04").tenures()) == 0 &&
+			len(r.Member("m00").tenures())+len(r.Member("m01").tenures())+len(r.Member("m02").tenures()) == 5
+	}) {
+		t.Fatal("the majority has not taken over")
+	}
+	time.Sleep(13 * period)
+	for _, name := range []string{"m03", "m04"} {
+		if s, _ := r.Member(name).share(); s > 0.55*rate/5 || s < 0.45*rate/5 {
+			t.Errorf("%s is cut off with one other and has %.1f of its %.1f", name, s, rate/5)
+		}
+	}
+	r.Between(Fault{})
+	if !within(patience, own()) {
+		t.Fatal("not each its own after the heal")
+	}
+	if !r.Quiesce(patience) {
+		t.Fatal("queries without an answer")
+	}
+	if over := overRate(letIn(r), rate, burst); over != "" {
+		t.Error(over)
+	}
+	for _, f := range Check(r.History.Events(), false) {
+		t.Error(f)
+	}
+}
+
+// together is how many parts a node had at the most at a time, if each took at least so long; or, with no
+// node named, how many queries that are meant were open.
+func together(r *Rig, node string, took float64, meant func(n int) bool) (most int) {
+	var at []float64
+	if node == "" {
+		at = reached(r, meant)
+	} else {
+		for _, e := range r.History.Events() {
+			if e.Kind == KindPart && e.Who == node {
+				at = append(at, e.MS)
+			}
+		}
+	}
+	first := 0
+	for i, t := range at {
+		for at[first] <= t-took {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// What may be open at a time over the fleet, for a class and at one data node, and a rate for each tenant:
+// through a kill and a start at once, a cut, an upgrade and a stop, as the data nodes saw it.
+func TestLimitsOnWhatIsOpenAndForEach(t *testing.T) {
+	r := open(t, Config{Members: 3, Seed: 54, Rate: 60, Roster: true, Limits: `[[limit]]
+name = "posts"
+class = "exchange-post"
+concurrent = 6
+longest_ms = 2100
+[[limit]]
+name = "tenants"
+tenant = "*"
+rate = 30.0
+burst = 6.0
+[[limit]]
+name = "weak-node"
+server = "n0"
+concurrent = 3
+longest_ms = 2100
+`})
+	const took = 150
+	r.slowBy.Store(int64(took * time.Millisecond))
+	for i := range 4 {
+		r.Sicken(i, Slow)
+	}
+	awaitSettled(t, r, "start")
+	a, b, c := r.Member("m00"), r.Member("m01"), r.Member("m02")
+	time.Sleep(15 * period)
+	b.Mute.Store(true)
+	time.Sleep(10 * period)
+	b.Kill()
+	if err := b.Start(); err != nil {
+		t.Fatal(err)
+	}
+	b.Mute.Store(false)
+	time.Sleep(10 * period)
+	r.cut([][]string{{"m00"}, {"m01"}, {"m02"}}, false, Fault{})
+	time.Sleep(15 * period)
+	r.Between(Fault{Loss: 0.2})
+	if err := c.Upgrade(); err != nil {
+		t.Fatal(err)
+	}
+	a.Stop()
+	time.Sleep(12 * period)
+	a.Cont()
+	time.Sleep(10 * period)
+	if !r.Quiesce(patience) {
+		t.Fatal("queries without an answer")
+	}
+	posts := together(r, "", took, func(n int) bool { return n%2 == 1 })
+	node := together(r, "n0", took, nil)
+	if posts > 6 || posts < 4 || node > 3 || node < 2 {
+		t.Errorf("%d of 6 posts were open at a time, %d of 3 parts at n0", posts, node)
+	}
+	for k := range callers {
+		if over := overRate(reached(r, func(n int) bool { return n%callers == k }), 30, 6); over != "" {
+			t.Errorf("tenant %d: %s", k, over)
+		}
+	}
+	refused := 0
+	for _, e := range r.History.Events() {
+		if e.Kind == KindAnswer && e.Status == 503 {
+			refused++
+		}
+	}
+	if refused == 0 {
+		t.Error("nothing was refused: no limit was ever met")
+	}
+	for _, f := range Check(r.History.Events(), false) {
+		t.Error(f)
+	}
+	t.Logf("%d of 6 posts, %d of 3 parts at n0 at a time; %d refused", posts, node, refused)
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -12,6 +12,7 @@
 	"net/url"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -122,6 +123,9 @@
 	given  []string // ids given up
 	conns  []net.Conn
 	opened int
+
+	// Wide has the parts of a connection answered side by side, not one after the other.
+	Wide atomic.Bool
 }
 
 // Raw stands for an answer that is no frame.
@@ -207,6 +211,24 @@
 }
 
 func (n *Node) serve(c net.Conn, number int, f func(p Part) (end, value string)) {
+	var writing sync.Mutex
+	write := func(text string) {
+		writing.Lock()
+		defer writing.Unlock()
+		_, _ = io.WriteString(c, text)
+	}
+	frame := func(rest string) {
+		writing.Lock()
+		defer writing.Unlock()
+		Frame(c, rest)
+	}
+	answer := func(p Part) {
+		if end, value := f(p); end == Raw {
+			write(value)
+		} else if end != "" {
+			frame(fmt.Sprintf("5%s %s 1 qps=5,queue=2\n%s", p.ID, end, value))
+		}
+	}
 	for {
 		var head [4]byte
 		if _, err := io.ReadFull(c, head[:]); err != nil {
@@ -223,17 +245,17 @@
 				p := Part{Conn: number}
 				var shard, size int
 				if _, err := fmt.Sscanf(line, "%s %d %s %d", &p.ID, &shard, &p.List, &size); err != nil {
-					Frame(c, "Xbad line")
+					frame("Xbad line")
 					return
 				}
 				p.Text, rest = more[:size], more[size:]
 				n.mu.Lock()
 				n.parts = append(n.parts, p)
 				n.mu.Unlock()
-				if end, value := f(p); end == Raw {
-					_, _ = io.WriteString(c, value)
-				} else if end != "" {
-					Frame(c, fmt.Sprintf("5%s %s 1 qps=5,queue=2\n%s", p.ID, end, value))
+				if n.Wide.Load() {
+					go answer(p)
+				} else {
+					answer(p)
 				}
 			}
 		case '2':
@@ -241,7 +263,7 @@
 			n.given = append(n.given, rest)
 			n.mu.Unlock()
 		case '3':
-			Frame(c, "3S")
+			frame("3S")
 		}
 	}
 }
