Turn away by one level for the fleet, and rehearse overload on emulated nodes

internal/overload: requests have a bucket by worth and a hash of what all their tries share; one member keeps the level for all, by what is answered and a margin, from reports of what is offered. What is sent again gets a tenth of first sends while there is a level, at each member and so over all. A side that is cut off has its own keeper; one that does not hear it goes on by its own evidence. The core's gate asks it, the door and the console show it. lapislever rehearse, a program of its own: emulated nodes, an open-loop load, failures, runs kept in JSON and bbolt, paired comparisons by Student's t, charts as SVG in one page.

Probing stays each one's own, as it looks at one's own way (docs/OVERLOAD.md).

The rig's upgrade waits until the old process serves: its door opens before, and a successor that came too early ended with the fleet's socket taken.

--- a/cmd/lapislever/main.go
+++ b/cmd/lapislever/main.go
@@ -36,6 +36,7 @@
   import    make a file for --promql or --translate of a mod_jk worker file or Apache's balancers
   fleet     members | verdicts | cordon ID | uncordon ID, at a coordinator's door
   admission show | ban PREFIX | pin PREFIX | lift PREFIX, at a coordinator's door
+  rehearse  list | run SCENARIO | compare SCENARIO A B | report SCENARIO, with emulated nodes and load
   version   print the version
 
 RELAY_CONFIG names the platform's configuration. With --promql FILE range queries are served too, and without
@@ -69,6 +70,9 @@
 		fmt.Fprint(stderr, usage)
 		return fmt.Errorf("%w: a command is needed", errUsage)
 	}
+	if args[0] == "rehearse" {
+		return console.HandOver("rehearse", args[1:])
+	}
 	flags := pflag.NewFlagSet(args[0], pflag.ContinueOnError)
 	flags.SetOutput(stderr)
 	verbose, files := false, 0
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -67,6 +67,7 @@
 	Fleet() any
 	Verdicts() any
 	Limits() any
+	Overload() any
 	// Say gives a verdict for the whole fleet, and returns what is to be shown of it, and whether all that are
 	// alive hold it. It gives up after the time given, or the call's own wait if that is longer.
 	Say(c FleetCall, within time.Duration) (shown any, all bool, err error)
@@ -164,6 +165,8 @@
 		act = func() { show(x, say, s.Verdicts()) }
 	case "/admin/limits":
 		act = func() { show(x, say, s.Limits()) }
+	case "/admin/overload":
+		act = func() { show(x, say, s.Overload()) }
 	case "/admin/fleet/cordon", "/admin/fleet/uncordon", "/admin/fleet/ban", "/admin/fleet/pin",
 		"/admin/fleet/lift":
 		method = "POST"
--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -64,3 +64,23 @@
 		}
 	}
 }
+
+func TestOverload(t *testing.T) {
+	door := standin.NewHTTP(t, func(path string, _ url.Values) (int, string) {
+		if path != "/admin/overload" {
+			return 404, "no such call"
+		}
+		return 200, `{"level":52,"heard_ms":100,"shed":{"rate-check":70,"rate-check/t1":30},
+		 "retries":{"spent":12,"allowed":40,"denied":5},"duties":[{"what":"level","owner":"b1","since_ms":61000}]}`
+	})
+	var out bytes.Buffer
+	if err := (Fleet{Door: door.Addr}).Run([]string{"overload"}, &out); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"level 52 of 64, heard 100ms ago: all below is turned away", "rate-check      70",
+		"rate-check/t1   30", "12", "40; turned down: 5", "level       b1", "for 1m1s"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%q is not in\n%s", want, out.String())
+		}
+	}
+}
--- a/internal/console/fleet.go
+++ b/internal/console/fleet.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"os"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -15,7 +17,7 @@
 var ErrUsage = errors.New("usage")
 
 // calls are all that there are.
-const calls = "members, verdicts, limits, cordon ID, uncordon ID, ban PREFIX, pin PREFIX, lift PREFIX"
+const calls = "members, verdicts, limits, overload, cordon ID, uncordon ID, ban PREFIX, pin PREFIX, lift PREFIX"
 
 // watchEvery is the time between two looks of --watch.
 const watchEvery = time.Second
@@ -68,6 +70,8 @@
 		show = f.verdicts
 	case "limits":
 		show = f.limits
+	case "overload":
+		show = f.overload
 	case "cordon", "uncordon", "ban", "pin", "lift":
 		if len(words) != 2 {
 			return fmt.Errorf("%w: %s takes one data node's id, or a prefix", ErrUsage, words[0])
@@ -186,6 +190,38 @@
 	return nil
 }
 
+func (f Fleet) overload(out io.Writer) error {
+	var v struct {
+		Level   int
+		Heard   int64 `json:"heard_ms"`
+		Shed    map[string]int64
+		Retries struct{ Spent, Allowed, Denied int64 }
+		Duties  []struct {
+			What, Owner string
+			Since       int64 `json:"since_ms"`
+		}
+	}
+	if done, err := f.get("/admin/overload", &v, out); done || err != nil {
+		return err
+	}
+	word := "nothing is turned away for all"
+	if v.Level > 0 {
+		word = "all below is turned away"
+	}
+	fmt.Fprintf(out, "level %d of 64, heard %s ago: %s\n", v.Level, span(v.Heard), word)
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "TURNED AWAY OF\tREQUESTS")
+	for _, name := range slices.Sorted(maps.Keys(v.Shed)) {
+		fmt.Fprintf(w, "%s\t%d\n", name, v.Shed[name])
+	}
+	fmt.Fprintf(w, "\nSENT AGAIN\t%d\t(a tenth of what was sent first: %d; turned down: %d)\n", v.Retries.Spent,
+		v.Retries.Allowed, v.Retries.Denied)
+	for _, d := range v.Duties {
+		fmt.Fprintf(w, "%s\t%s\tfor %s\n", d.What, d.Owner, span(d.Since))
+	}
+	return w.Flush()
+}
+
 func dash(s string) string {
 	if s == "" {
 		return "-"
--- /dev/null
+++ b/internal/console/handover.go
@@ -0,0 +1,21 @@
+package console
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"syscall"
+)
+
+// HandOver goes on as another program that lies beside this one. It returns only if that fails.
+func HandOver(program string, args []string) error {
+	own, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(filepath.Dir(own), program)
+	if err := syscall.Exec(path, append([]string{path}, args...), os.Environ()); err != nil {
+		return fmt.Errorf("%s: %w: it is built with the program, go build -o bin/ ./cmd/...", path, err)
+	}
+	return nil
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -176,6 +176,9 @@
 	over   bool
 }
 
+// First tells that the attempt is the first of its part.
+func (a *Attempt) First() bool { return a.number == 0 }
+
 // Backend takes attempts to servers. The core's goroutine calls it: no method may block, none may queue an
 // event from inside the call.
 type Backend interface {
@@ -295,13 +298,13 @@
 // Gate limits what is let in and sent beside what the module decides. No method may block.
 type Gate interface {
 	// Admit is asked before a query is queued, from any goroutine: whether it may be let in, and if not after
-	// how long and why. Ended is called once for each that was, when it has its final answer or is gone.
+	// how long and why. Ended is called once for each that was, when it has its final answer or its client is
+	// gone, which counts as Failed.
 	Admit(q *Query) (ok bool, after time.Duration, why string)
-	Ended(q *Query)
+	Ended(q *Query, e Ending)
 	// Send is asked before an attempt is handed to its backend, by the core's goroutine; one that may not be
-	// is to the module as if the server had sent it back unseen. Over is called once for each that may, at its
-	// end.
-	Send(a *Attempt) bool
+	// ends as told. Over is called once for each that may, at its end.
+	Send(a *Attempt) (ok bool, otherwise balance.Outcome)
 	Over(a *Attempt)
 }
 
@@ -414,7 +417,7 @@
 	case c.queue <- q:
 		return true
 	default:
-		c.left(q)
+		c.left(q, Refused)
 		return false
 	}
 }
@@ -595,7 +598,7 @@
 		if e.Query.open {
 			c.events = append(c.events, balance.Event{Kind: balance.ClientGone, ID: e.Query.id})
 			c.end(e.Query)
-			c.left(e.Query)
+			c.left(e.Query, Failed)
 		}
 	case Listed:
 		c.learn(&e)
@@ -1037,8 +1040,9 @@
 	p.tries = append(p.tries, a)
 	p.live++
 	if c.cfg.Gate != nil {
-		if a.passed = c.cfg.Gate.Send(a); !a.passed {
-			c.settle(a, balance.Busy, nil, nil)
+		var otherwise balance.Outcome
+		if a.passed, otherwise = c.cfg.Gate.Send(a); !a.passed {
+			c.settle(a, otherwise, nil, nil)
 			return
 		}
 	}
@@ -1079,16 +1083,16 @@
 
 // reply hands out the final answer of a query that is not open, or not any more.
 func (c *Core) reply(q *Query, f Final) {
-	c.left(q)
+	c.left(q, f.Ending)
 	q.Client.Final(f)
 }
 
 // left books that a query that was submitted is over.
-func (c *Core) left(q *Query) {
+func (c *Core) left(q *Query, e Ending) {
 	c.cfg.Counts.Active.Add(-1)
 	if q.admitted {
 		q.admitted = false
-		c.cfg.Gate.Ended(q)
+		c.cfg.Gate.Ended(q, e)
 	}
 }
 
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -40,6 +40,9 @@
 		Detect struct {
 			Period int `toml:"period_ms,omitempty"`
 		} `toml:"detect,omitempty"`
+		Overload struct {
+			Off bool `toml:"off,omitempty"` // each member turns away by itself alone
+		} `toml:"overload,omitempty"`
 		Evidence struct {
 			Share *float64 `toml:"share,omitempty"` // of all nodes, that may be out by evidence; 0: none is
 		} `toml:"evidence,omitempty"`
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"lapislever/internal/membership"
+	"lapislever/internal/overload"
 	"lapislever/internal/quota"
 	"lapislever/internal/verdict"
 )
@@ -37,6 +38,7 @@
 	toQuota   byte = 3 // between the shares of limits
 
 	toEvidence byte = 4 // between juries
+	toOverload byte = 5 // between guards
 )
 
 // Status is what the door shows: the form of GET /admin/fleet.
@@ -115,6 +117,7 @@
 
 	keep     keeper // the view's owner's
 	jurors   jurors
+	shed     shedder
 	host     atomic.Pointer[Host] // of Begin; empty before
 	toApply  chan verdict.Change
 	verdicts atomic.Pointer[Verdicts]
@@ -156,6 +159,8 @@
 		cfg.Period().Microseconds(), membership.MostApp)
 	f.jurors.zones = map[string]string{}
 	f.host.Store(&Host{})
+	f.shed.guard = overload.NewGuard(cfg.Fleet.Name, cfg.Period().Microseconds())
+	f.shed.by = map[string]int64{}
 	f.openLimits(given != nil)
 	f.show.Store(&Status{Self: cfg.Fleet.Name, Members: []MemberStatus{}})
 	if given == nil {
@@ -316,8 +321,9 @@
 	was, is := &f.cfg.Fleet, &fresh.Fleet
 	for name, differs := range map[string]bool{"fleet.name": was.Name != is.Name,
 		"fleet.zone": was.Zone != is.Zone, "fleet.listen": was.Listen != is.Listen,
-		"fleet.detect": was.Detect != is.Detect, "fleet.evidence": *was.Evidence.Share != *is.Evidence.Share,
-		"limit": !sameLimits(f.cfg.Limits, fresh.Limits)} {
+		"fleet.detect": was.Detect != is.Detect, "fleet.overload": was.Overload != is.Overload,
+		"fleet.evidence": *was.Evidence.Share != *is.Evidence.Share,
+		"limit":          !sameLimits(f.cfg.Limits, fresh.Limits)} {
 		if differs {
 			kept = append(kept, name)
 		}
@@ -463,6 +469,8 @@
 		f.hearLimit(v, h)
 	case toEvidence:
 		f.hearEvidence(v, h)
+	case toOverload:
+		f.hearOverload(v, h)
 	case toModule:
 		f.toldUs.Add(1)
 		select {
--- a/internal/fleet/verdicts.go
+++ b/internal/fleet/verdicts.go
@@ -117,6 +117,7 @@
 		k.Tick(now, peers)
 		f.tendLimits(v, now, names)
 		f.tendJury(v, now)
+		f.tendOverload(v, now, names)
 	}
 	sends, changes := k.Take()
 	for _, c := range changes {
--- a/internal/platform/fleet.go
+++ b/internal/platform/fleet.go
@@ -6,12 +6,14 @@
 import (
 	"fmt"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"lapislever/balance"
 	"lapislever/internal/core"
 	"lapislever/internal/fleet"
 	lnet "lapislever/internal/net"
+	"lapislever/internal/overload"
 	"lapislever/internal/verdict"
 )
 
@@ -201,12 +203,43 @@
 	}
 }
 
-// limits asks the fleet's limits.
-type limits struct{ k *Coordinator }
+// limits asks the fleet's level and limits.
+type limits struct {
+	k      *Coordinator
+	ranked *atomic.Pointer[ranked]
+}
+
+// ranked are the ranks of a configuration's classes.
+type ranked struct {
+	conf  *Config
+	ranks []int
+}
+
+// rank is the place of a class by worth.
+func (l limits) rank(conf *Config, class int) int {
+	r := l.ranked.Load()
+	if r == nil || r.conf != conf {
+		worth := make([]float64, len(conf.Module.Classes))
+		for i := range worth {
+			worth[i] = conf.Module.Classes[i].Worth
+		}
+		r = &ranked{conf, overload.Rank(worth)}
+		l.ranked.Store(r)
+	}
+	return r.ranks[class]
+}
 
 // Admit asks whether a query may be let in.
 func (l limits) Admit(q *core.Query) (bool, time.Duration, string) {
-	t, ok, after, limit := l.k.fleet.Allow(l.k.front.conf.Load().Classes[q.Class], q.Caller, q.Deadline)
+	conf := l.k.front.conf.Load()
+	class, who := conf.Classes[q.Class], q.Name
+	if q.Key != "" {
+		who = q.Key // the same for all tries of it
+	}
+	if ok, after := l.k.fleet.LetIn(l.rank(conf, q.Class), class, q.Caller, who, q.Repeat); !ok {
+		return false, after, "the fleet is overloaded"
+	}
+	t, ok, after, limit := l.k.fleet.Allow(class, q.Caller, q.Deadline)
 	if !ok {
 		return false, after, "limit " + limit + " of the fleet"
 	}
@@ -216,8 +249,9 @@
 	return true, 0, ""
 }
 
-// Ended gives back what a query held.
-func (l limits) Ended(q *core.Query) {
+// Ended gives back what a query held, and tells how it ended.
+func (l limits) Ended(q *core.Query, e core.Ending) {
+	l.k.fleet.HasEnded(e == core.Answered)
 	if t, ok := q.Ticket.(fleet.Ticket); ok {
 		q.Ticket = nil
 		l.k.fleet.Done(t)
@@ -225,15 +259,18 @@
 }
 
 // Send asks whether an attempt may be sent.
-func (l limits) Send(a *core.Attempt) bool {
+func (l limits) Send(a *core.Attempt) (bool, balance.Outcome) {
+	if !l.k.fleet.MaySend(a.First()) {
+		return false, balance.NotSent
+	}
 	if !l.k.fleet.LimitsServers() {
-		return true
+		return true, 0
 	}
 	t, ok := l.k.fleet.AllowSend(uint64(a.Replica), time.Now().Add(a.Timeout))
 	if !t.Empty() {
 		a.Ticket = t
 	}
-	return ok
+	return ok, balance.Busy // to the module the node is full
 }
 
 // Over gives back what an attempt held.
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -130,8 +130,8 @@
 			return nil, err
 		}
 		conf.Peers = k.fleet
-		if len(cfg.Fleet.Limits) > 0 {
-			conf.Gate = limits{k}
+		if len(cfg.Fleet.Limits) > 0 || cfg.Fleet.Sheds() {
+			conf.Gate = limits{k, &atomic.Pointer[ranked]{}}
 		}
 		k.judge(&conf)
 	}
@@ -356,6 +356,14 @@
 	return s, len(s.Missing) == 0, err
 }
 
+// Overload is what the fleet turns away as one; nil where there is no fleet.
+func (d doorState) Overload() any {
+	if d.k.fleet == nil {
+		return nil
+	}
+	return d.k.fleet.Overload()
+}
+
 // Limits are this member's shares of the fleet's limits; nil where there is no fleet.
 func (d doorState) Limits() any {
 	if d.k.fleet == nil {
--- /dev/null
+++ b/internal/rehearse/command.go
@@ -0,0 +1,134 @@
+package rehearse
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/pflag"
+)
+
+// ErrUsage marks words that make no call.
+var ErrUsage = errors.New("usage")
+
+const usage = `usage: lapislever rehearse COMMAND [flags]
+
+commands:
+  list                   the scenarios that the tool brings along
+  run SCENARIO           play one of them, or a file's, and print and keep what was measured
+  compare SCENARIO A B   compare what is kept of two labels, paired by seed
+  report SCENARIO        write a page with charts of what is kept
+`
+
+// Command carries out one call. beside is where the program itself lies.
+func Command(args []string, stdout, stderr io.Writer, beside string) error {
+	flags := pflag.NewFlagSet("rehearse", pflag.ContinueOnError)
+	flags.SetOutput(stderr)
+	flags.Usage = func() { fmt.Fprint(stderr, usage, "\nflags:\n"+flags.FlagUsages()) }
+	dir := flags.String("dir", "rehearsals", "folder in which runs are kept")
+	label := flags.String("label", "as-is", "name of what is played, to compare it by")
+	seed := flags.Uint64("seed", 1, "of the first play")
+	plays := flags.Int("plays", 1, "how many, each with the next seed")
+	program := flags.String("program", "", "another build of the program to play with")
+	alone := flags.Bool("alone", false, "the coordinators know nothing of one another")
+	fleet := flags.String("fleet", "", "text that is added to each member's fleet file")
+	rate := flags.Float64("rate", 0, "first tries a second all the time, instead of the scenario's")
+	page := flags.String("page", "", "where the page goes; without: DIR/SCENARIO.html")
+	quiet := flags.Bool("quiet", false, "no line a second")
+	if err := flags.Parse(args); errors.Is(err, pflag.ErrHelp) {
+		return nil
+	} else if err != nil {
+		return fmt.Errorf("%w: %v", ErrUsage, err)
+	}
+	words := flags.Args()
+	need := map[string]int{"list": 1, "run": 2, "compare": 4, "report": 2}
+	if len(words) == 0 || need[words[0]] != len(words) {
+		flags.Usage()
+		return fmt.Errorf("%w: %q is no call", ErrUsage, words)
+	}
+	switch words[0] {
+	case "list":
+		for _, name := range Names() {
+			s, err := Open(name)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(stdout, "%-10s %s\n", name, s.About)
+		}
+		return nil
+	case "compare":
+		a, err := Runs(*dir, words[1], words[2])
+		if err != nil {
+			return err
+		}
+		b, err := Runs(*dir, words[1], words[3])
+		if err != nil {
+			return err
+		}
+		list, err := Compare(a, b)
+		if err != nil {
+			return err
+		}
+		return WriteDifferences(stdout, words[2], words[3], list)
+	case "report":
+		runs, err := Runs(*dir, words[1], "")
+		if err != nil {
+			return err
+		}
+		if *page == "" {
+			*page = filepath.Join(*dir, words[1]+".html")
+		}
+		f, err := os.Create(*page)
+		if err != nil {
+			return err
+		}
+		if err := errors.Join(Report(f, words[1], runs), f.Close()); err != nil {
+			return err
+		}
+		fmt.Fprintln(stdout, *page)
+		return nil
+	}
+	s, err := Open(words[1])
+	if err != nil {
+		return err
+	}
+	s.Alone = s.Alone || *alone
+	if *fleet != "" {
+		s.Fleet += *fleet + "\n"
+	}
+	if *rate > 0 {
+		s.Load.Rate, s.Load.Steps = *rate, nil
+	}
+	pl := &Player{Program: *program}
+	if pl.Program == "" {
+		pl.Program = beside
+	}
+	if !*quiet {
+		pl.Progress = func(second int, x Second) {
+			fmt.Fprintf(stderr, "\r%3d s: asked %4d, in time %4d, refused %4d, parts %5d, full %4d, level %2d ",
+				second, x.First, x.InTime, x.Refused, x.Parts, x.Full, x.LevelMax)
+		}
+	}
+	for i := range max(1, *plays) {
+		begun := time.Now()
+		r, err := pl.Play(s, *seed+uint64(i), *label)
+		if err != nil {
+			return err
+		}
+		if !*quiet {
+			fmt.Fprintln(stderr)
+		}
+		path, err := r.Save(*dir)
+		if err != nil {
+			return err
+		}
+		if err := r.WriteTable(stdout); err != nil {
+			return err
+		}
+		fmt.Fprintf(stdout, "kept as %s after %v\n", path, time.Since(begun).Round(time.Second))
+	}
+	return nil
+}
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -41,14 +41,18 @@
 	Members int
 	Seed    uint64
 	Period  time.Duration
-	Nodes   int      // data nodes; they hold the two cells in turn
-	Rate    float64  // queries a second and member
-	Keys    string   // text of the key file; empty: no keys
-	Limits  string   // [[limit]] tables of the fleet's file
-	Most    int      // members that there may be; 0: 64
-	Roster  bool     // the members' names, instead of Most
-	Edit    []string // changes of Settings: old and new text in turn
-	Out     *History
+	Nodes   int     // data nodes; they hold the two cells in turn
+	Rate    float64 // queries a second and member
+	Keys    string  // text of the key file; empty: no keys
+	Limits  string  // [[limit]] tables of the fleet's file, or others
+	Program string  // path of the program; empty: it is built
+	// Answer serves a part at a data node, instead of the rig's own way.
+	Answer func(node int, p standin.Part) (end, value string)
+	Alone  bool     // without the fleet: each by itself
+	Most   int      // members that there may be; 0: 64
+	Roster bool     // the members' names, instead of Most
+	Edit   []string // changes of Settings: old and new text in turn
+	Out    *History
 }
 
 // mostMembers is more than a rig ever has.
@@ -135,9 +139,11 @@
 
 // New builds the program and puts up what stands around the members; none is started yet.
 func New(cfg Config) (*Rig, error) {
-	program, err := Program()
-	if err != nil {
-		return nil, err
+	program, err := cfg.Program, error(nil)
+	if program == "" {
+		if program, err = Program(); err != nil {
+			return nil, err
+		}
 	}
 	if cfg.Out == nil {
 		cfg.Out = NewHistory(nil)
@@ -217,6 +223,9 @@
 // answer serves each part with its id, as far as the node is sound.
 func (r *Rig) answer(node int) func(p standin.Part) (string, string) {
 	name := fmt.Sprintf("n%d", node)
+	if r.cfg.Answer != nil {
+		return func(p standin.Part) (string, string) { return r.cfg.Answer(node, p) }
+	}
 	return func(p standin.Part) (string, string) {
 		r.History.Note(Event{Kind: KindPart, Who: name, Query: p.ID})
 		switch Illness(r.ill[node].Load()) {
@@ -458,7 +467,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return Start(m.rig.program, []string{"serve", "--fleet", m.file("fleet.toml")}, env, m.LogPath())
+	args := []string{"serve", "--fleet", m.file("fleet.toml")}
+	if m.rig.cfg.Alone {
+		args = args[:1]
+	}
+	return Start(m.rig.program, args, env, m.LogPath())
 }
 
 // Start starts the member; edit changes the fleet's file.
@@ -517,9 +530,21 @@
 // Hup has the member read its files anew.
 func (m *Member) Hup() { m.note("hup"); m.Process().Signal(syscall.SIGHUP) }
 
-// Upgrade has a new process take over, and ends the old one in order.
+// serves waits until the process in service says that it takes clients: its door is open before.
+func (m *Member) serves(most time.Duration) bool {
+	return within(most, func() bool {
+		c, err := call(m.Door(), "GET", "/admin/health", "")
+		return err == nil && c.Status == 200
+	})
+}
+
+// Upgrade has a new process take over, and ends the old one in order. Only one that serves can be asked for
+// its sockets.
 func (m *Member) Upgrade() error {
 	old := m.Process()
+	if !m.serves(10 * time.Second) {
+		return fmt.Errorf("%s does not serve yet", m.Name)
+	}
 	m.note("upgrade")
 	was := m.Door()
 	m.twin.Store(1 - m.twin.Load())
@@ -530,10 +555,7 @@
 	m.rig.mu.Lock()
 	m.proc, m.old = p, old
 	m.rig.mu.Unlock()
-	if !within(10*time.Second, func() bool {
-		c, err := call(m.Door(), "GET", "/admin/health", "")
-		return err == nil && c.Status == 200
-	}) {
+	if !m.serves(10 * time.Second) {
 		return fmt.Errorf("the successor of %s at %s never served", m.Name, was)
 	}
 	old.Signal(syscall.SIGTERM)
--- a/internal/rig/scenario.go
+++ b/internal/rig/scenario.go
@@ -238,6 +238,9 @@
 	return nil
 }
 
+// Cut separates sides; all other links are sound.
+func (r *Rig) Cut(sides [][]string) { r.cut(sides, false, Fault{}) }
+
 // cut separates sides; all other links get the fault given.
 func (r *Rig) cut(sides [][]string, oneWay bool, rest Fault) {
 	side := map[string]int{}
--- a/internal/rig/verdict_test.go
+++ b/internal/rig/verdict_test.go
@@ -58,10 +58,7 @@
 // awaitServing waits until the member says that it takes clients: the door is open before.
 func (m *Member) awaitServing(t *testing.T) {
 	t.Helper()
-	if !within(patience, func() bool {
-		reply, err := m.Call("GET", "/admin/health", "")
-		return err == nil && reply.Status == 200
-	}) {
+	if !m.serves(patience) {
 		t.Fatalf("%s does not serve", m.Name)
 	}
 }
