--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -22,8 +22,8 @@
 	Buckets    = Ranks * Shares
 	Window     = 3          // between two changes of the level
 	fresh      = 2 * Window // a report counts so long
-	high       = 0.10       // of what was let in came to nothing: the level rises
-	low        = 0.03       // and falls below that
+	high       = 0.25       // of what was let in came to nothing: there is a level
+	low        = 0.03       // and below that it is tried how much more can be done
 	leastIn    = 20         // of a window: with fewer nothing is told from chance
 	margin     = 0.25       // let in beyond what was answered,
 	marginMost = 1          // and at the most
