--- a/internal/verdict/verdict_test.go
+++ b/internal/verdict/verdict_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"slices"
 	"testing"
 
@@ -255,7 +256,11 @@
 // A verdict reaches all within its bound at 30% loss, its giver knows who holds it, and one who starts from
 // nothing is told by others than the giver.
 func TestSpreading(t *testing.T) {
-	for _, n := range []int{3, 12, 100} {
+	sizes := []int{3, 12, 100}
+	if os.Getenv("LAPISLEVER_LONG") != "" {
+		sizes = append(sizes, 300, 1000)
+	}
+	for _, n := range sizes {
 		w := newNet(n, 0.3, uint64(n))
 		if w.until(200, func() bool {
 			for _, s := range w.all {
