Drop state and counters that nobody reads, and make a rehearsal's run in one place

Read once more: a tenure draws nothing at random, so it needs no generator and no seed; a jury's count of messages, a trial's count of members asked, a ledger's count of parts and a guard's note that it is alone were written and not read. Real and virtual plays made their run alike (Scenario.result serves both), and an operator's word that takes a judgement back was looked up twice (Fleet.Say).

No behaviour changes. Race detector: quota, verdict, overload, rehearse, fleet, and the rig's tests of evidence, limits and verdicts.

--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -362,7 +362,7 @@
 		_, _ = fmt.Fprintf(h, "%s %g\n", l.Name, l.Floor)
 	}
 	return quota.NewTenure(f.cfg.Fleet.Name, f.cfg.Fleet.Roster, uint32(h.Sum64()),
-		f.cfg.Period().Microseconds(), f.viewConfig().Seed, f.now())
+		f.cfg.Period().Microseconds(), f.now())
 }
 
 // mostDiffer is for how many periods being turned down by somebody counts.
--- a/internal/fleet/verdicts.go
+++ b/internal/fleet/verdicts.go
@@ -209,17 +209,15 @@
 	done := make(chan struct{})
 	if !f.call(func(*membership.View) {
 		defer close(done)
-		if !v.On && v.Kind == verdict.Node {
-			if ill := f.pardon(&v); len(ill) > 0 {
-				given, err = ill[0], nil
-				if l, ok := f.keep.Line(f.now(), v.Kind, v.What); !ok || !l.On {
-					return
-				}
-			}
-		}
 		if !v.On {
+			var ill []verdict.Verdict
+			if v.Kind == verdict.Node {
+				ill = f.pardon(&v)
+			}
 			if l, ok := f.keep.Line(f.now(), v.Kind, v.What); !ok || !l.On {
-				err = ErrNothing
+				if err = ErrNothing; len(ill) > 0 { // by evidence alone, and that is taken back
+					given, err = ill[0], nil
+				}
 				return
 			}
 		}
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -108,7 +108,6 @@
 	tokens float64
 	busy   bool // what is sent again is bounded
 	harm   bool // most of what is let in comes to nothing: clients' repeats are bounded as well
-	alone  bool // the keeper lives, and is not heard
 
 	Shed   [Buckets]int64 // turned away by the level
 	Spent  int64          // sent again,
@@ -212,9 +211,8 @@
 	g.now = Count{}
 	g.harm = count.In >= leastIn/4 && float64(count.Bad) > harmful*float64(count.In)
 	g.busy = g.level > 0 || count.In >= leastIn/4 && float64(count.Bad) > high*float64(count.In)
-	g.alone = g.keeper != g.self && now-g.heard > stale*g.period
 	if g.keeper != g.self {
-		if g.alone { // by its own evidence, from the level that it heard last
+		if now-g.heard > stale*g.period { // by its own evidence, from the level that it heard last
 			g.book(now, g.self, &count)
 			g.due(now)
 		}
--- a/internal/quota/book.go
+++ b/internal/quota/book.go
@@ -66,7 +66,7 @@
 	return math.MaxInt64
 }
 
-// Entitle takes in until when this member has its own rest, and those of others that are gone.
+// entitle takes in until when this member has its own rest, and those of others that are gone.
 func (b *book) entitle(mine window, others []window) { b.entitled = entitled{mine, others} }
 
 // count is how many members' rests a part stands for now.
--- a/internal/quota/chaos_test.go
+++ b/internal/quota/chaos_test.go
@@ -86,7 +86,7 @@
 	now := f.clock(i)
 	p := &process{share: NewShare(f.rate, len(f.names), period, f.starts, now),
 		slots:  NewSlots(f.some, len(f.names), i, period, f.hold, f.starts, now),
-		tenure: NewTenure(f.names[i], f.names, 7, period, f.starts, now)}
+		tenure: NewTenure(f.names[i], f.names, 7, period, now)}
 	if p.tenure != nil {
 		p.tenure.Hasty = f.hasty
 	}
--- a/internal/quota/slots.go
+++ b/internal/quota/slots.go
@@ -106,7 +106,7 @@
 	return n
 }
 
-// Rates returns how many may be open here now.
+// total is how many may be open here now.
 func (s *Slots) total(now Micros) (sum float64) {
 	for p := range parts {
 		sum += s.avail[p]
--- a/internal/quota/tenure.go
+++ b/internal/quota/tenure.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"math/rand/v2"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -62,7 +61,6 @@
 	roster []string // sorted: the voters
 	stamp  uint32   // of it: other rosters' votes do not count
 	period Micros
-	rng    *rand.PCG
 	votes  map[string]vote
 	silent Micros // no votes before that
 	claims []claim
@@ -72,12 +70,12 @@
 
 // NewTenure returns that of a process that starts from nothing. Votes count among members with the same
 // roster and stamp only. Nil: the roster is none that votes.
-func NewTenure(self string, roster []string, stamp uint32, period Micros, seed uint64, now Micros) *Tenure {
+func NewTenure(self string, roster []string, stamp uint32, period, now Micros) *Tenure {
 	if len(roster) < 3 || len(roster) > MostVoters || !slices.Contains(roster, self) {
 		return nil
 	}
 	t := &Tenure{self: self, roster: slices.Sorted(slices.Values(roster)), period: period,
-		rng: rand.NewPCG(seed, 11), stamp: stamp, votes: map[string]vote{}, silent: now + span(period, 1+3*Drift)}
+		stamp: stamp, votes: map[string]vote{}, silent: now + span(period, 1+3*Drift)}
 	for _, name := range t.roster {
 		t.stamp = t.stamp*31 + uint32(xxhash.Sum64String(name))
 	}
--- a/internal/quota/tenure_test.go
+++ b/internal/quota/tenure_test.go
@@ -25,8 +25,7 @@
 
 func (t *Tenure) clone() *Tenure {
 	c := *t
-	rng := *t.rng
-	c.rng, c.votes, c.claims = &rng, maps.Clone(t.votes), slices.Clone(t.claims)
+	c.votes, c.claims = maps.Clone(t.votes), slices.Clone(t.claims)
 	for i := range c.claims {
 		c.claims[i].term = slices.Clone(c.claims[i].term)
 	}
@@ -109,7 +108,7 @@
 func exploreVotes(steps, most int, hasty bool) (found []string, states int) {
 	first := &ballot{now: 1_000_000_000}
 	begin := func(x *ballot, i int) {
-		x.procs[i] = NewTenure(three[i], three, 7, period, 1, x.now)
+		x.procs[i] = NewTenure(three[i], three, 7, period, x.now)
 		x.procs[i].Hasty = hasty
 		x.views[i] = 7
 	}
--- a/internal/rehearse/ledger.go
+++ b/internal/rehearse/ledger.go
@@ -18,7 +18,7 @@
 	mode    string
 	by      float64
 
-	got, full, done atomic.Int64
+	full, done atomic.Int64
 }
 
 func newLedger(conf Ledger, seed uint64) *ledger {
@@ -48,7 +48,6 @@
 
 // serve works on a part, and returns the letter that ends it.
 func (l *ledger) serve() string {
-	l.got.Add(1)
 	work, mode := l.draw()
 	switch mode {
 	case "fail":
--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -127,13 +127,18 @@
 	p.out.Wait()
 	close(stop)
 	aside.Wait()
+	return s.result(seed, label, p.seconds, p.hist), nil
+}
+
+// result makes a run of what was counted.
+func (s *Scenario) result(seed uint64, label string, seconds []Second, hist *hdrhistogram.Histogram) *Run {
 	run := &Run{Scenario: s.Name, Label: label, Seed: seed, At: time.Now().UTC(),
-		Seconds: p.seconds[:int(s.For)], Capacity: s.Capacity(), Latency: map[string]float64{}}
+		Seconds: seconds[:int(s.For)], Capacity: s.Capacity(), Latency: map[string]float64{}}
 	for _, q := range []float64{50, 90, 99, 99.9} {
-		run.Latency[strconv.FormatFloat(q, 'g', -1, 64)] = float64(p.hist.ValueAtQuantile(q)) / 1000
+		run.Latency[strconv.FormatFloat(q, 'g', -1, 64)] = float64(hist.ValueAtQuantile(q)) / 1000
 	}
 	run.Figures = run.figures()
-	return run, nil
+	return run
 }
 
 // ready waits until all members serve, and with a fleet see each other.
--- a/internal/rehearse/scenario.go
+++ b/internal/rehearse/scenario.go
@@ -135,7 +135,7 @@
 // onNodes tells that something is done to data nodes, not to members.
 func onNodes(do string) bool { return slices.Contains([]string{"slow", "fail", "deaf", "sound"}, do) }
 
-// Load reads a scenario of a file, or one that the tool brings along by its name.
+// Open reads a scenario of a file, or one that the tool brings along by its name.
 func Open(name string) (*Scenario, error) {
 	if text, err := scenarios.ReadFile("scenarios/" + name + ".toml"); err == nil {
 		return Parse(name+".toml", string(text))
--- a/internal/rehearse/virtual.go
+++ b/internal/rehearse/virtual.go
@@ -178,12 +178,8 @@
 			return nil, fmt.Errorf("over %d events", mostSteps)
 		}
 	}
-	run := &Run{Scenario: s.Name, Label: label, Seed: seed, At: time.Now().UTC(), Virtual: true,
-		Seconds: w.seconds[:int(s.For)], Capacity: s.Capacity(), Latency: map[string]float64{}}
-	for _, q := range []float64{50, 90, 99, 99.9} {
-		run.Latency[strconv.FormatFloat(q, 'g', -1, 64)] = float64(w.hist.ValueAtQuantile(q)) / 1000
-	}
-	run.Figures = run.figures()
+	run := s.result(seed, label, w.seconds, w.hist)
+	run.Virtual = true
 	run.Figures["fleet_bytes"] = float64(w.bytes) / s.For / float64(s.Members)
 	return run, nil
 }
--- a/internal/verdict/guard.go
+++ b/internal/verdict/guard.go
@@ -1,9 +1,6 @@
 package verdict
 
-import (
-	"slices"
-	"strings"
-)
+import "strings"
 
 // Holder is a data node as the guard sees it.
 type Holder struct {
@@ -107,5 +104,5 @@
 			out = append(out, e.Verdict)
 		}
 	}
-	return slices.Clip(out)
+	return out
 }
--- a/internal/verdict/jury.go
+++ b/internal/verdict/jury.go
@@ -72,7 +72,6 @@
 type trial struct {
 	reports map[string]report
 	asked   Micros // when the last members were
-	done    int    // how many have been, of late
 	turn    int
 }
 
@@ -94,7 +93,6 @@
 	told   map[uint64]lastTold
 	sent   int
 	out    []Send
-	Sent   int64 // messages
 	// Credulous is planted, for checkers: one member's word is enough, and nobody's against it counts.
 	Credulous bool
 }
@@ -150,7 +148,6 @@
 		return false
 	}
 	j.sent++
-	j.Sent++
 	j.out = append(j.out, Send{To: to, Data: b})
 	return true
 }
@@ -287,7 +284,6 @@
 		}
 		c.asked = now
 		n := min(mostAsked, len(j.voters)-1)
-		c.done = n
 		for range n {
 			c.turn++
 			to := j.voters[1+c.turn%(len(j.voters)-1)].Name
@@ -345,7 +341,6 @@
 				b = appendTally(b, id, j.Tally(now, id, periods))
 			}
 		}
-		j.Sent++
 		return []Send{{To: from.Name, Data: b}}, true
 	default:
 		return nil, false
--- a/internal/verdict/witness.go
+++ b/internal/verdict/witness.go
@@ -21,11 +21,10 @@
 
 // The endings that count. What a node turns away because it is full is none of them: overload is no sickness.
 const (
-	Served   Ending = iota // late, if it took long
-	Broken                 // an error, a lost connection, or none
-	Unheard                // no answer in its time; late only if that was long
-	GivenUp                // withdrawn: late if it had taken long by then, else nothing
-	outcomes = 3
+	Served  Ending = iota // late, if it took long
+	Broken                // an error, a lost connection, or none
+	Unheard               // no answer in its time; late only if that was long
+	GivenUp               // withdrawn: late if it had taken long by then, else nothing
 )
 
 // Tally is what one member has seen of one node: the bad outcomes of the present bout, and the good ones
