Ask at the write whether an attempt may still begin, and let the writer say whether it ran

The module decides within the window; the frame then waits for its connection, and nobody looked again (nodes.go, Send and write).

An attempt now bears the moments up to which it is waited for and may begin (core.Attempt.Until, Before; the module tells the window with the send), and the writer asks core.Attempt.MayBegin when it has a connection. So a call is worded when it begins: the time that it tells is what is left then, not what was left before dialling; parts that were withdrawn meanwhile are left out. The same question holds back what its client has left, also while its query or the word of its leaving still waits in the core's queue (core.Leave).

Found by reading, each with a test that fails without its mend: a connection that ended between the write of a frame and its booking told its parts as never run, so that they could be repeated at will (nodes.go, end): only the writer says so now. A time-out told the node of a given-up part also where the settings forbid to call off. A call could be queued on a connection that was just being closed as idle, and its node was held to be dead for it.

The stop of a drain used to drop words of given-up parts that were queued for the node; they go out now, and the test says so.

--- a/balance/api.go
+++ b/balance/api.go
@@ -237,7 +237,7 @@
 
 // The kinds of action.
 const (
-	Send    ActionKind = iota // ID of a part, Replica, After (its time-out)
+	Send    ActionKind = iota // ID of a part, Replica, After (its time-out), Before (of a repeat)
 	Cancel                    // ID of a part, Attempt
 	Answer                    // ID of a query, Whole
 	Refuse                    // ID of a query, After (advice when to come back; 0: none)
@@ -260,6 +260,7 @@
 	Replica ReplicaID
 	Whole   bool
 	After   Micros
+	Before  Micros // of a Send: it must not begin later than this; 0: it may
 	Text    string
 	To      uint32
 }
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -880,14 +880,17 @@
 	t := attempt{r: r, call: r.open, sent: b.now, live: true, stale: stale, domain: r.Domain}
 	p.tries = append(p.tries, t)
 	p.live++
+	c, before := p.q.rules, Micros(0)
 	if p.ran == 0 {
 		p.ran = b.now
+	} else if c.Effect == Keyed {
+		before = p.ran + c.Window
 	}
 	until := p.q.aim
-	if c := p.q.rules; b.now+Micros(c.LateWorth*float64(c.Aim)) > until {
+	if b.now+Micros(c.LateWorth*float64(c.Aim)) > until {
 		until = min(p.q.deadline, b.now+c.Aim)
 	}
-	b.out = append(b.out, Action{Kind: Send, ID: p.id, Replica: r.ID, After: max(until-b.now, sweep)})
+	b.out = append(b.out, Action{Kind: Send, ID: p.id, Replica: r.ID, After: max(until-b.now, sweep), Before: before})
 	return true
 }
 
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -193,6 +193,13 @@
 	if c.Effect == Keyed && ran > 0 && w.now > ran+c.Window {
 		w.breach("a keyed part was repeated after its window")
 	}
+	var before Micros // the host has to know it: it may be a while until the attempt begins
+	if c.Effect == Keyed && ran > 0 {
+		before = ran + c.Window
+	}
+	if a.Before != before {
+		w.breach("an attempt may begin until %d, its window ends at %d", a.Before, before)
+	}
 	if len(p.attempts) > 0 && w.s.ResendSpan > 0 {
 		w.extras = append(w.extras, w.now)
 		used := count(w.extras, w.now-w.s.ResendSpan)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -96,8 +96,12 @@
 	parts    []*part
 	open     bool
 	deadline balance.Micros
+	over     atomic.Bool // it has its final answer, or its client has left: nothing of it begins any more
 }
 
+// Over tells that the query has its final answer, or that its client has left: nothing of it may begin.
+func (q *Query) Over() bool { return q.over.Load() }
+
 type part struct {
 	q     *Query
 	spec  *PartSpec
@@ -167,6 +171,8 @@
 	Shard   int
 	Replica balance.ReplicaID
 	Timeout time.Duration // how long the core will wait
+	Until   time.Time     // and up to when
+	Before  time.Time     // it must not begin later, as its key is forgotten then; zero: it may
 	Ticket  any           // the gate's
 
 	passed bool // by the gate
@@ -176,6 +182,14 @@
 	over   bool
 }
 
+// MayBegin tells whether an attempt may begin at this moment, and how long the core will wait for it from there.
+// Whoever writes its first byte asks then: between the module's decision and that moment it may have waited for
+// a connection, its client may have left, and the window for repeats may have closed.
+func (a *Attempt) MayBegin(now time.Time) (wait time.Duration, may bool) {
+	wait = a.Until.Sub(now)
+	return wait, wait > 0 && !a.Query.Over() && (a.Before.IsZero() || !now.After(a.Before))
+}
+
 // First tells that the attempt is the first of its part.
 func (a *Attempt) First() bool { return a.number == 0 }
 
@@ -392,6 +406,11 @@
 	return c.base + t.Sub(c.epoch).Microseconds()
 }
 
+// moment is the module's time on the clock that clock reads.
+func (c *Core) moment(at balance.Micros) time.Time {
+	return c.epoch.Add(time.Duration(at-c.base) * time.Microsecond)
+}
+
 // Post queues an event and waits for room in the queue, so that a socket that brings more than the module
 // takes is read no further. It must not be called from inside a Backend's methods.
 func (c *Core) Post(e Event) {
@@ -416,6 +435,13 @@
 	}
 }
 
+// Leave tells that the client of a query has left. From here on no attempt of it begins, also where the queue
+// is long.
+func (c *Core) Leave(q *Query) {
+	q.over.Store(true)
+	c.Post(Gone{Query: q})
+}
+
 // admit asks the gate. One that it turns away has had its final answer.
 func (c *Core) admit(q *Query) bool {
 	c.cfg.Counts.Active.Add(1)
@@ -812,6 +838,10 @@
 
 // begin takes a query and gives the module what it needs to know of it.
 func (c *Core) begin(q *Query) {
+	if q.over.Load() { // its client left while it was queued
+		c.left(q, Failed)
+		return
+	}
 	if c.names[q.Name] != nil { // its parts could not be told from those of the other one
 		c.reply(q, Final{Ending: Failed, NameTaken: true})
 		return
@@ -1044,6 +1074,10 @@
 		until = p.q.deadline
 	}
 	a.Timeout = time.Duration(max(0, until-c.now)) * time.Microsecond
+	a.Until = c.moment(until)
+	if act.Before > 0 {
+		a.Before = c.moment(act.Before)
+	}
 	p.tries = append(p.tries, a)
 	p.live++
 	if c.cfg.Gate != nil {
@@ -1106,6 +1140,7 @@
 // end forgets a query. What it still has out is withdrawn by the module or runs into its time-out.
 func (c *Core) end(q *Query) {
 	q.open = false
+	q.over.Store(true)
 	delete(c.queries, q.id)
 	delete(c.names, q.Name)
 	delete(c.numbers, q.number)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -201,6 +201,58 @@
 	}
 }
 
+// A client that leaves while its query waits in the queue: nothing of it is sent, and its place is given back.
+func TestClientThatLeavesWhileItsQueryIsQueued(t *testing.T) {
+	k := start(t, settings())
+	q := k.query("a", 2)
+	if !k.Submit(q) {
+		t.Fatal("not queued")
+	}
+	k.Leave(q)
+	k.tell(<-k.queue) // word of its end is still behind others
+	k.tell(<-k.queue)
+	if len(k.f.calls) != 0 || len(k.f.finals) != 0 || k.held != 0 || k.cfg.Counts.Active.Load() != 0 {
+		t.Fatalf("%d calls, %d answers, %d held, %d active", len(k.f.calls), len(k.f.finals), k.held,
+			k.cfg.Counts.Active.Load())
+	}
+}
+
+// An attempt bears the moments that its backend has to look at, on the clock that it reads; the end of its query
+// holds it back too.
+func TestAttemptTellsWhetherItMayBegin(t *testing.T) {
+	s := settings()
+	s.Classes[0].Effect, s.Classes[0].Window = balance.Keyed, 300*ms
+	k := start(t, s)
+	q := k.query("a", 1)
+	k.tell(q)
+	first := k.f.calls[0][0]
+	if !first.Before.IsZero() {
+		t.Fatal("a first attempt is bound to no window")
+	}
+	k.tell(Outcome{Attempt: first, Outcome: balance.Error})
+	again := k.f.calls[1][0]
+	window := first.Until.Add(-first.Timeout).Add(300 * time.Millisecond)
+	if !again.Before.Equal(window) {
+		t.Fatalf("a repeat may begin until %v, its window ends at %v", again.Before, window)
+	}
+	if _, may := again.MayBegin(window); !may {
+		t.Fatal("it may begin up to the end of its window")
+	}
+	if _, may := again.MayBegin(window.Add(time.Microsecond)); may {
+		t.Fatal("it began after its window")
+	}
+	if wait, may := first.MayBegin(first.Until.Add(-time.Second)); !may || wait != time.Second {
+		t.Fatalf("%v are left, %v", wait, may)
+	}
+	if _, may := first.MayBegin(first.Until); may {
+		t.Fatal("it began when its time was over")
+	}
+	k.tell(Gone{Query: q})
+	if _, may := again.MayBegin(window); may {
+		t.Fatal("it began after its client had left")
+	}
+}
+
 // What is queued for a server that drains is taken back; as it never ran, it goes to another one at once.
 func TestDrainTakesQueuedSendsBack(t *testing.T) {
 	k := start(t, settings())
--- a/internal/kiosk/front.go
+++ b/internal/kiosk/front.go
@@ -332,7 +332,7 @@
 		j.Final(core.Final{Ending: core.Refused, RetryAfter: f.core.FullAdvice()})
 		return nil
 	}
-	return func() { f.core.Post(core.Gone{Query: q}) }
+	return func() { f.core.Leave(q) }
 }
 
 // job is a query's client, and what its attempts met.
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -75,7 +75,7 @@
 		q.Client.Final(core.Final{Ending: core.Refused, RetryAfter: f.core.FullAdvice()})
 		return nil
 	}
-	return func() { f.core.Post(core.Gone{Query: q}) }
+	return func() { f.core.Leave(q) }
 }
 
 // TurnAway counts a request that was refused before it came here: too many connections are open.
--- /dev/null
+++ b/internal/platform/narrow_test.go
@@ -0,0 +1,216 @@
+package platform
+
+// Crossings at the data nodes' connections: each is forced, by a connection that holds its writer at the very
+// point until the other side has come.
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"lapislever/balance"
+	"lapislever/internal/core"
+	lnet "lapislever/internal/net"
+	"lapislever/internal/standin"
+)
+
+// heldConn is a connection whose Write waits, with all bytes or only a part of them gone, until it may return.
+type heldConn struct {
+	net.Conn
+	writing chan []byte   // hears what is written
+	goOn    chan error    // what Write returns; with an error a part only is out
+	closed  chan struct{} // by Close
+}
+
+func newHeldConn() *heldConn {
+	return &heldConn{writing: make(chan []byte, 1), goOn: make(chan error), closed: make(chan struct{}, 4)}
+}
+
+func (h *heldConn) Write(b []byte) (int, error) {
+	h.writing <- append([]byte(nil), b...)
+	if err := <-h.goOn; err != nil {
+		return len(b) / 2, err
+	}
+	return len(b), nil
+}
+func (h *heldConn) Close() error                     { h.closed <- struct{}{}; return nil }
+func (h *heldConn) SetWriteDeadline(time.Time) error { return nil }
+
+// soon is an attempt that the core waits for.
+func soon(name string, id balance.ReplicaID) *core.Attempt {
+	return &core.Attempt{Query: &core.Query{Name: name}, Replica: id, Timeout: 10 * time.Second,
+		Until: time.Now().Add(10 * time.Second)}
+}
+
+// wired is a way to one node, over connections that the test makes.
+func wired(t *testing.T, edit ...string) (n *Nodes, id balance.ReplicaID, told chan core.Outcome) {
+	t.Helper()
+	told = make(chan core.Outcome, 16)
+	edit = append(edit, `"streamsPerConn":2`, `"streamsPerConn":20`) // all on the one that the test holds
+	n = NewNodes(config(t, newDiscovery(t), edit...), lnet.NewBudget(10, 0), standin.Quiet(), &core.Counts{},
+		func(e core.Event) {
+			if o, ok := e.(core.Outcome); ok {
+				told <- o
+			}
+		})
+	return n, core.ServerID("a"), told
+}
+
+func (n *Nodes) attach(id balance.ReplicaID) *nodeConn {
+	c := &nodeConn{n: n, node: &node{id: id, addr: "127.0.0.1:9"}, out: lnet.NewRing(outLimit), waiting: map[string]*core.Attempt{},
+		given: map[string]time.Time{}, written: map[string]time.Time{}, wake: make(chan struct{}, 1),
+		used: time.Now(), opened: time.Now()}
+	n.nodes[id] = c.node
+	c.node.conns = []*nodeConn{c}
+	return c
+}
+
+func outcome(t *testing.T, told chan core.Outcome) core.Outcome {
+	t.Helper()
+	select {
+	case o := <-told:
+		return o
+	case <-time.After(10 * time.Second):
+		t.Fatal("no outcome")
+		return core.Outcome{}
+	}
+}
+
+// The node resets the connection after the frame's last byte has gone and before the writer has booked that: the
+// part may have run. Where the write itself fails its last byte is not out, and it never ran. Either way what
+// is queued behind it never ran.
+func TestResetBetweenTheWriteAndItsBooking(t *testing.T) {
+	for _, x := range []struct {
+		write error
+		first balance.Outcome
+	}{{nil, balance.Reset}, {errors.New("broken pipe"), balance.NoConnection}} {
+		n, id, told := wired(t)
+		c, h := n.attach(id), newHeldConn()
+		c.c, c.up = h, true
+		first, second := soon("q1", id), soon("q2", id)
+		if !n.Send(id, []*core.Attempt{first}) || !n.Send(id, []*core.Attempt{second}) {
+			t.Fatal("not queued")
+		}
+		go c.carry(h)
+		<-h.writing
+		c.end(errors.New("connection reset by peer")) // the reader's word
+		if o := outcome(t, told); o.Attempt != second || o.Outcome != balance.NoConnection {
+			t.Fatalf("what was queued behind: %+v", o)
+		}
+		h.goOn <- x.write
+		if o := outcome(t, told); o.Attempt != first || o.Outcome != x.first {
+			t.Fatalf("write %v: outcome %v, not %v", x.write, o.Outcome, x.first)
+		}
+	}
+}
+
+// While an attempt waits for its connection its client leaves, its query gets an answer, the window for repeats
+// closes, or its time ends: it does not begin. The module hears that it never ran.
+func TestWhatMayNotBeginAnyMoreIsNotWritten(t *testing.T) {
+	n, id, told := wired(t)
+	c, h := n.attach(id), newHeldConn()
+	c.c, c.up = h, true
+	k, err := core.New(core.Config{Settings: n.conf.Load().Module, Log: standin.Quiet()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	running := soon("q0", id)
+	left, past, over, good := soon("q1", id), soon("q2", id), soon("q3", id), soon("q4", id)
+	past.Before = time.Now()
+	over.Until = time.Now()
+	good.Before = time.Now().Add(time.Minute)
+	n.Send(id, []*core.Attempt{running})
+	go c.carry(h)
+	<-h.writing
+	for _, a := range []*core.Attempt{left, past, over, good} { // behind a frame that is being written
+		if !n.Send(id, []*core.Attempt{a}) {
+			t.Fatal("not queued")
+		}
+	}
+	k.Leave(left.Query)
+	h.goOn <- nil
+	for _, a := range []*core.Attempt{left, past, over} {
+		if o := outcome(t, told); o.Attempt != a || o.Outcome != balance.NotSent {
+			t.Fatalf("%s: %+v", a.Query.Name, o)
+		}
+	}
+	if words := string(<-h.writing); !strings.Contains(words, "q4.0 ") {
+		t.Fatalf("%q", words)
+	}
+	h.goOn <- nil
+	c.end(nil)
+}
+
+// The time that a call tells is what is left when it begins, and parts that were given up meanwhile are not in it.
+func TestCallIsWordedWhenItBegins(t *testing.T) {
+	n, id, _ := wired(t)
+	c, h := n.attach(id), newHeldConn()
+	c.c, c.up = h, true
+	all := []*core.Attempt{soon("q1", id), soon("q2", id), soon("q3", id)}
+	for _, a := range all {
+		a.Until = time.Now().Add(2 * time.Second) // a connection was waited for since
+	}
+	all[2].Query.Key, all[2].Query.Text = "key", []byte("text")
+	n.Send(id, all)
+	if !n.Withdraw(all[1]) {
+		t.Fatal("a part of a call that is not begun has never run")
+	}
+	go c.carry(h)
+	var wait [2]int
+	words := string(<-h.writing)
+	if _, err := fmt.Sscanf(words[5:], "q1.0 0 d=%d 0\nq3.0 0 d=%d,k=key 4\ntext", &wait[0], &wait[1]); err != nil {
+		t.Fatalf("%q: %v", words, err)
+	}
+	if wait[0] > 2000 || wait[1] > 2000 || wait[0] < 1 {
+		t.Fatalf("%v ms are told, 2000 were left", wait)
+	}
+	h.goOn <- nil
+	c.end(nil)
+}
+
+// Where the settings forbid to call an attempt off the node is not told, neither of one whose time is over.
+func TestNothingIsCalledOffWhereThatIsForbidden(t *testing.T) {
+	n, id, _ := wired(t, `"cancel":true`, `"cancel":false`)
+	c, h := n.attach(id), newHeldConn()
+	c.c, c.up = h, true
+	a, b := soon("q1", id), soon("q2", id)
+	n.Send(id, []*core.Attempt{a})
+	go c.carry(h)
+	<-h.writing
+	h.goOn <- nil
+	standin.Until(t, "the frame to be booked", func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return len(c.written) == 1
+	})
+	if n.Withdraw(a) {
+		t.Fatal("it may have run")
+	}
+	n.Send(id, []*core.Attempt{b})
+	if words := <-h.writing; words[4] != '1' {
+		t.Fatalf("%q was written", words)
+	}
+	h.goOn <- nil
+	c.end(nil)
+}
+
+// A connection that is closed while idle takes no call any more: what comes in that moment goes to another one,
+// and if that has come too far it has never run, of which the node is not to blame.
+func TestCallAtTheCloseOfAnIdleConnection(t *testing.T) {
+	n, id, told := wired(t)
+	c := n.attach(id)
+	c.c, c.up = newHeldConn(), true
+	a := soon("q1", id)
+	n.Send(id, []*core.Attempt{a})
+	c.retire() // between a look at whether it is idle and the close
+	if ok, closing := c.queue(frame{call: []*core.Attempt{soon("q2", id)}, size: 1}); ok || !closing {
+		t.Fatal("a call was queued on a connection that is closing")
+	}
+	c.end(nil)
+	if o := outcome(t, told); o.Attempt != a || o.Outcome != balance.NotSent {
+		t.Fatalf("%+v", o)
+	}
+}
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -12,6 +12,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -27,6 +28,8 @@
 	maxLine    = 1024                   // of a data node's answer
 	maxFrame   = lnet.MaxBody + maxLine // a value and its line
 	outLimit   = 256 << 10              // bytes queued for one connection
+	partSlack  = 96                     // bytes of a part's line beside its names: numbers and signs
+	sendTries  = 3                      // connections that are just being closed and are passed over for a call
 	writeLimit = 300 * time.Millisecond
 	// A frame of a node that began comes to its end within this share of the shortest aim.
 	frameShare = 8
@@ -102,9 +105,12 @@
 type nodeConn struct {
 	n       *Nodes
 	node    *node
+	out     *lnet.Ring // the writer's: the frame that it writes
 	mu      sync.Mutex // guards all below
-	out     *lnet.Ring
 	frames  []frame
+	booked  int             // bytes of the frames
+	torn    []*core.Attempt // out in a frame that was being written as the connection ended
+	why     error           // it ended for
 	waiting map[string]*core.Attempt
 	given   map[string]time.Time // written and then given up: an answer may come all the same
 	written map[string]time.Time // when the parts that wait were written
@@ -127,12 +133,46 @@
 	over bool
 }
 
-// frame is a stretch of the out ring: what is not begun can still be taken back.
+// frame is what the writer has to write. A call is worded when it begins, as the time that it tells is what is
+// left by then; what is not begun can still be taken back, part by part.
 type frame struct {
-	size  int
 	call  []*core.Attempt // nil for a cancel or a probe
-	probe bool
-	begun bool
+	text  []byte          // of a cancel or a probe
+	probe *probe          // of a probe
+	size  int             // booked of outLimit
+	begun bool            // the writer has it: only that knows whether its last byte goes out
+}
+
+// words are the bytes of a call at this moment, and the parts that it carries: those that are still waited for
+// and may begin.
+func (c *nodeConn) words(b []byte, call []*core.Attempt, now time.Time) ([]byte, []*core.Attempt) {
+	var carried []*core.Attempt
+	b = append(b[:0], 0, 0, 0, 0, '1')
+	for _, a := range call {
+		id := wireID(a)
+		wait, may := a.MayBegin(now)
+		if c.waiting[id] != a || !may {
+			continue
+		}
+		b = fmt.Appendf(b, "%s %d d=%d", id, a.Shard, max(1, wait.Milliseconds()))
+		if a.Query.Key != "" {
+			b = fmt.Appendf(b, ",k=%s", a.Query.Key)
+		}
+		b = fmt.Appendf(b, " %d\n", len(a.Query.Text))
+		b = append(b, a.Query.Text...)
+		carried = append(carried, a)
+	}
+	binary.LittleEndian.PutUint32(b, uint32(len(b)-4))
+	return b, carried
+}
+
+// callSize is what a call takes at most.
+func callSize(call []*core.Attempt) int {
+	n := 5
+	for _, a := range call {
+		n += len(a.Query.Name) + len(a.Query.Key) + len(a.Query.Text) + partSlack
+	}
+	return n
 }
 
 // NewNodes returns the way to the nodes; post is the core's queue.
@@ -218,19 +258,21 @@
 
 // Send queues one call on a connection that has room for it, or on a new one.
 func (n *Nodes) Send(to balance.ReplicaID, call []*core.Attempt) bool {
-	var b bytes.Buffer
-	b.Write([]byte{0, 0, 0, 0, '1'})
-	for _, a := range call {
-		fmt.Fprintf(&b, "%s %d d=%d", wireID(a), a.Shard, max(1, a.Timeout.Milliseconds()))
-		if a.Query.Key != "" {
-			b.WriteString(",k=" + a.Query.Key)
+	return n.queue(to, frame{call: call, size: callSize(call)})
+}
+
+// queue passes a frame to a connection that takes it.
+func (n *Nodes) queue(to balance.ReplicaID, f frame) bool {
+	for range sendTries {
+		c := n.conn(to, true)
+		if c == nil {
+			return false
+		}
+		if ok, closing := c.queue(f); ok || !closing {
+			return ok
 		}
-		fmt.Fprintf(&b, " %d\n", len(a.Query.Text))
-		b.Write(a.Query.Text)
 	}
-	binary.LittleEndian.PutUint32(b.Bytes(), uint32(b.Len()-4))
-	c := n.conn(to, true)
-	return c != nil && c.queue(b.Bytes(), frame{call: call})
+	return false
 }
 
 // conn finds a connection with room for a call, or opens one.
@@ -307,10 +349,10 @@
 		c.giveUp(id)
 	}
 	c.mu.Unlock()
-	if !unsent {
+	if !unsent && n.conf.Load().Module.CanCancel { // where it may not be told the node answers what nobody hears
 		b := append([]byte{0, 0, 0, 0, '2'}, id...)
 		binary.LittleEndian.PutUint32(b, uint32(len(b)-4))
-		c.queue(b, frame{})
+		c.queue(frame{text: b, size: len(b)})
 	}
 	return unsent
 }
@@ -332,11 +374,8 @@
 
 // Probe sends a probe, over a connection that is there if possible.
 func (n *Nodes) Probe(to balance.ReplicaID) bool {
-	c := n.conn(to, true)
-	if c == nil {
-		return false
-	}
-	return c.queue([]byte{1, 0, 0, 0, '3'}, frame{probe: true})
+	text := []byte{1, 0, 0, 0, '3'}
+	return n.queue(to, frame{text: text, size: len(text), probe: &probe{at: time.Now()}})
 }
 
 // CloseIdle closes the connections to a node that carry nothing.
@@ -367,7 +406,7 @@
 				}
 			}
 		}
-		c.keep(func(f *frame) bool { return f.begun })
+		c.keep(func(f *frame) bool { return f.call == nil && f.probe == nil })
 		c.calls = c.count()
 		c.mu.Unlock()
 	}
@@ -383,17 +422,17 @@
 	return nil
 }
 
-// queue appends a frame to what the writer has to write.
-func (c *nodeConn) queue(b []byte, f frame) bool {
+// queue appends a frame to what the writer has to write. One that is closing takes no call and no probe.
+func (c *nodeConn) queue(f frame) (ok, closing bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.dead {
-		return false
+	if c.dead || c.retired && (f.call != nil || f.probe != nil) {
+		return false, true
 	}
-	if _, err := c.out.Write(b); err != nil {
-		return false
+	if c.booked+f.size > outLimit {
+		return false, false
 	}
-	f.size = len(b)
+	c.booked += f.size
 	c.frames = append(c.frames, f)
 	for _, a := range f.call {
 		c.waiting[wireID(a)] = a
@@ -401,14 +440,13 @@
 	if f.call != nil {
 		c.calls = c.count()
 	}
-	if f.probe {
-		p := &probe{at: time.Now()}
+	if p := f.probe; p != nil {
 		c.probes = append(c.probes, p)
 		time.AfterFunc(c.n.conf.Load().DialTimeout, func() { c.probeDone(p, balance.TimedOut, nil) })
 	}
 	c.used = time.Now()
 	c.poke()
-	return true
+	return true, false
 }
 
 // count is the number of calls out. With one part a call, as here, that is the parts that wait; parts that
@@ -427,59 +465,35 @@
 	return false
 }
 
-// unqueue takes an attempt's frame back if it is not begun and holds nothing else that is wanted.
+// unqueue takes an attempt back, and its call where nothing else in it is wanted, if it is not begun.
 func (c *nodeConn) unqueue(a *core.Attempt) bool {
 	c.calls = c.count()
-	for i := range c.frames {
-		f := &c.frames[i]
+	if !c.queued(a) {
+		return false
+	}
+	c.keep(func(f *frame) bool {
+		wanted := f.call == nil
 		for _, x := range f.call {
-			if x != a {
-				continue
-			}
-			if f.begun {
-				return false
-			}
-			for _, y := range f.call {
-				if c.waiting[wireID(y)] == y {
-					return false // others of its call still go out, and it with them
-				}
-			}
-			c.keep(func(g *frame) bool { return g != f })
-			return true
+			wanted = wanted || c.waiting[wireID(x)] == x
 		}
-	}
-	return false
+		return wanted
+	})
+	return true
 }
 
-// keep drops the queued frames that wanted refuses, bytes and all.
+// keep drops the frames that are not begun and not wanted.
 func (c *nodeConn) keep(wanted func(*frame) bool) {
-	total := c.out.Len()
-	all := make([]byte, total)
-	c.out.Peek(all, 0)
-	begun, at := 0, 0
-	var kept []frame
-	var bytes []byte
-	for i := range c.frames {
-		f := &c.frames[i]
-		if f.begun || wanted(f) {
-			kept = append(kept, *f)
-			if f.begun {
-				begun += f.size
-			} else {
-				bytes = append(bytes, all[at:at+f.size]...)
-			}
-		} else if f.probe && len(c.probes) > 0 {
-			c.probes = c.probes[:len(c.probes)-1]
+	c.frames = slices.DeleteFunc(c.frames, func(f frame) bool {
+		drop := !f.begun && !wanted(&f)
+		if drop {
+			c.booked -= f.size
+			c.probes = slices.DeleteFunc(c.probes, func(p *probe) bool { return p == f.probe })
 		}
-		at += f.size
-	}
-	c.out.Truncate(begun)
-	_, _ = c.out.Write(bytes)
-	c.frames = kept
+		return drop
+	})
 }
 
-// write dials and then writes frame by frame, each within its limit, so that a node that does not read
-// holds up nothing but its own connection.
+// write dials and then writes.
 func (c *nodeConn) write(addr string) {
 	conn, err := net.DialTimeout("tcp", addr, c.n.conf.Load().DialTimeout)
 	if err != nil {
@@ -495,6 +509,12 @@
 	c.c, c.up = conn, true
 	c.mu.Unlock()
 	go c.read(conn)
+	c.carry(conn)
+}
+
+// carry writes frame by frame, each within its limit, so that a node that does not read holds up nothing but its
+// own connection.
+func (c *nodeConn) carry(conn net.Conn) {
 	limit := time.Duration(idleShare * float64(c.n.conf.Load().ConnIdle))
 	idle := time.NewTimer(limit)
 	defer idle.Stop()
@@ -523,39 +543,95 @@
 			continue
 		}
 		f := &c.frames[0]
-		f.begun = true
-		if cap(buf) < f.size {
-			buf = make([]byte, f.size)
+		var held []*core.Attempt // may not begin any more
+		if f.call != nil {
+			all := f.call
+			if buf, f.call = c.words(buf, all, time.Now()); len(f.call) < len(all) {
+				for _, a := range all {
+					if c.waiting[wireID(a)] == a && !slices.Contains(f.call, a) {
+						delete(c.waiting, wireID(a))
+						held = append(held, a)
+					}
+				}
+				c.calls = c.count()
+			}
+		} else {
+			buf = append(buf[:0], f.text...)
+		}
+		if f.begun = len(f.call) > 0 || f.text != nil; !f.begun {
+			c.booked -= f.size
+			c.frames = c.frames[1:]
 		}
-		buf = buf[:f.size]
-		c.out.Peek(buf, 0)
-		calls := len(f.call)
+		calls, begun := len(f.call), f.begun
 		c.mu.Unlock()
+		for _, a := range held {
+			c.n.post(core.Outcome{Attempt: a, Outcome: balance.NotSent})
+		}
+		if !begun {
+			continue
+		}
 		_ = conn.SetWriteDeadline(time.Now().Add(writeLimit))
-		_, err := conn.Write(buf)
+		_, err := c.out.Write(buf)
 		if err == nil {
+			_, err = conn.Write(c.out.First()) // all of it: the ring was empty
+		}
+		if c.out.Discard(c.out.Len()); err == nil {
 			c.n.count.Tries.Add(int64(calls))
 		}
-		c.mu.Lock()
-		if err == nil && !c.dead { // the frame's last byte is out: from here on its parts may have run
-			c.used = time.Now()
-			for _, a := range c.frames[0].call {
-				if id := wireID(a); c.waiting[id] == a {
-					c.written[id] = c.used
-				}
-				if c.owed.IsZero() {
-					c.owed = c.used
-				}
-			}
-			c.out.Discard(c.frames[0].size)
-			c.frames = c.frames[1:]
+		if c.wrote(err) {
+			return
 		}
+	}
+}
+
+// wrote books that the frame which the writer has begun is out, or that it never will be, and tells whether the
+// connection has ended. Only the writer knows: while its last byte may just be going out nobody else says
+// whether the frame's parts may have run.
+func (c *nodeConn) wrote(err error) bool {
+	c.mu.Lock()
+	if c.dead {
+		o := c.broken(err == nil)
+		torn := c.torn
+		c.torn = nil
 		c.mu.Unlock()
-		if err != nil {
-			c.end(err)
-			return
+		for _, a := range torn {
+			c.n.post(core.Outcome{Attempt: a, Outcome: o})
 		}
+		return true
+	}
+	if err != nil {
+		c.frames[0].begun = false
+		c.mu.Unlock()
+		c.end(err)
+		return true
 	}
+	c.used = time.Now() // from here on the frame's parts may have run
+	for _, a := range c.frames[0].call {
+		if id := wireID(a); c.waiting[id] == a {
+			c.written[id] = c.used
+		}
+		if c.owed.IsZero() {
+			c.owed = c.used
+		}
+	}
+	c.booked -= c.frames[0].size
+	c.frames = c.frames[1:]
+	c.mu.Unlock()
+	return false
+}
+
+// broken is how an attempt ended on a connection that has, by whether its frame was written whole. Closed while
+// idle, a connection says nothing of its node.
+func (c *nodeConn) broken(written bool) balance.Outcome {
+	switch {
+	case !written && c.why == nil:
+		return balance.NotSent
+	case !written:
+		return balance.NoConnection
+	case errors.Is(c.why, errSpoilt):
+		return balance.Spoilt
+	}
+	return balance.Reset
 }
 
 // end closes the connection and tells how its attempts ended: those whose frame's last byte was not written
@@ -577,14 +653,18 @@
 		c.mu.Unlock()
 		return
 	}
-	c.dead = true
+	c.dead, c.why = true, err
 	conn, waiting, probes, up := c.c, c.waiting, c.probes, c.up
 	unsent := map[*core.Attempt]bool{}
 	for _, f := range c.frames {
 		for _, a := range f.call {
-			unsent[a] = true
+			if unsent[a] = true; f.begun && waiting[wireID(a)] == a {
+				delete(waiting, wireID(a)) // the writer tells how it ended
+				c.torn = append(c.torn, a)
+			}
 		}
 	}
+	whole, not := c.broken(true), c.broken(false)
 	c.waiting, c.given, c.written, c.frames, c.probes = nil, nil, nil, nil, nil
 	c.mu.Unlock()
 	c.poke()
@@ -596,19 +676,15 @@
 		c.n.log.Debug("connection to a node ended", "node", c.node.name, "up", up, "parts", len(waiting),
 			"err", err)
 	}
-	broken := balance.Reset
-	if errors.Is(err, errSpoilt) {
-		broken = balance.Spoilt
-	}
 	for _, a := range waiting {
-		o := broken
+		o := whole
 		if unsent[a] {
-			o = balance.NoConnection
+			o = not
 		}
 		c.n.post(core.Outcome{Attempt: a, Outcome: o})
 	}
 	for _, p := range probes {
-		o := broken
+		o := whole
 		if !up {
 			o = balance.NoConnection
 		}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -270,7 +270,8 @@
 	var all []*core.Attempt
 	for i := range 4 {
 		a := &core.Attempt{Query: &core.Query{Name: fmt.Sprint("q", i)}, Replica: id}
-		c.queue([]byte(fmt.Sprint("frame", i)), frame{call: []*core.Attempt{a}})
+		call := []*core.Attempt{a}
+		c.queue(frame{call: call, size: callSize(call)})
 		all = append(all, a)
 	}
 	c.frames[0].begun = true // the writer has it
@@ -283,9 +284,13 @@
 	if c.calls != len(c.waiting) {
 		t.Fatalf("%d calls are counted, %d parts wait", c.calls, len(c.waiting))
 	}
-	left := make([]byte, c.out.Len())
-	if c.out.Peek(left, 0); string(left) != "frame0" || len(c.frames) != 1 {
-		t.Fatalf("%q in %d frames", left, len(c.frames))
+	// What is left is the call that the writer has, and the word that its part is given up.
+	if len(c.frames) != 2 || len(c.frames[0].call) != 1 || c.frames[0].call[0] != all[0] ||
+		string(c.frames[1].text[4:]) != "2q0.0" {
+		t.Fatalf("%+v", c.frames)
+	}
+	if booked := c.frames[0].size + c.frames[1].size; c.booked != booked {
+		t.Fatalf("%d bytes are booked, %d wait", c.booked, booked)
 	}
 }
 
--- a/internal/promql/front.go
+++ b/internal/promql/front.go
@@ -376,7 +376,7 @@
 	}
 	return func() {
 		j.close()
-		f.core.Post(core.Gone{Query: cq})
+		f.core.Leave(cq)
 	}
 }
 
