Hear of a change within 6 s however a call for the list ends, and at once where it is pushed

Where the list is pushed a call costs nothing: it now waits 1 s, one that is to be answered at once gets 250 ms (one in four 1 s, for a slow agent), the next follows 50 ms after a failure and asks for the whole list. Asked for, a call waits 3 s, and the module's longest pause is 4 s. The sums are formulas in watch.go and a test. A start waits up to 1 s for discovery's word before it is ready. An answer that comes at once and tells nothing is no reason to call in a loop. One outage is one line in the log.

The watch has a file of its own. Tests script discovery call by call: silent, closed, reset, an error, half a head, no JSON, a whole list without a length that is reset, one without an end, an indented one, one that leaves out a node that still answers; down and back; a start with an old list.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -11,6 +11,13 @@
 	"slices"
 )
 
+// How long a failed call for the list is waited with, in us: at first, and after many failures. What was missed
+// counts as told after 6 s, however the calls ended; the host's own limits on a call come on top.
+const (
+	AskAgain Micros = 1_000_000
+	AskMost  Micros = 4_000_000
+)
+
 // Tuned constants.
 const (
 	// Weights, as the design has them.
@@ -84,15 +91,13 @@
 	probeLoss = 0.05      // share of parts without an answer that makes them worth their cost
 	sweepSpan = 3_000_000 // us that one look at all replicas takes
 
-	noteSlow, noteWell    = 3.0, 1.5  // times the mean time per part: reported as avoided, as used again
-	sweep                 = 10_000    // us between looks at the open queries
-	askAgain              = 1_000_000 // us before a failed list call is made again, at first
-	askMost               = 8_000_000 // and after many failures
-	advice                = 0.3       // of the shortest aim is the longest advice, half of it the shortest
-	patienceSlack         = 50_000.0  // us that a client's own time may differ from what others wait
-	stepShare, stepDelays = 0.5, 2.0  // of the aim, and hedge delays: the most that is left for a second step
-	aimMargin             = 0.03      // share of the aim kept for the way back to the client
-	tolerance             = 5e-5      // by which a sum of weights may fall short
+	noteSlow, noteWell    = 3.0, 1.5 // times the mean time per part: reported as avoided, as used again
+	sweep                 = 10_000   // us between looks at the open queries
+	advice                = 0.3      // of the shortest aim is the longest advice, half of it the shortest
+	patienceSlack         = 50_000.0 // us that a client's own time may differ from what others wait
+	stepShare, stepDelays = 0.5, 2.0 // of the aim, and hedge delays: the most that is left for a second step
+	aimMargin             = 0.03     // share of the aim kept for the way back to the client
+	tolerance             = 5e-5     // by which a sum of weights may fall short
 )
 
 // New returns an instance that starts now with these settings. The seed must differ between instances.
@@ -231,9 +236,9 @@
 	if e.Mode != Cached && e.Mode != Local {
 		b.asked = false
 		b.watching = e.Mode != Failed
-		b.askGap = min(2*b.askGap, askMost) // growing and random: it may be down
+		b.askGap = min(2*b.askGap, AskMost) // growing and random: it may be down
 		if b.watching || b.askGap == 0 {
-			b.askGap = askAgain
+			b.askGap = AskAgain
 		}
 		if b.s.MustAsk > 0 { // after a failed call four times that may pass
 			b.askGap = min(b.askGap, b.s.MustAsk)
--- a/cmd/lapislever/main.go
+++ b/cmd/lapislever/main.go
@@ -9,7 +9,6 @@
 	"io"
 	"log/slog"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"strings"
 	"syscall"
@@ -45,7 +44,7 @@
 `
 
 func main() {
-	err := run(os.Args[1:], os.Stdout, os.Stderr, os.Getenv, listenSignals())
+	err := run(os.Args[1:], os.Stdout, os.Stderr, os.Getenv, platform.Signals())
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "lapislever:", err)
 	}
@@ -57,14 +56,6 @@
 	}
 }
 
-// listenSignals takes the signals that a running coordinator obeys, before anything else is done: SIGHUP
-// would else end the program. There is room for an end behind a reload that is not done yet.
-func listenSignals() <-chan os.Signal {
-	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	return signals
-}
-
 func run(args []string, stdout, stderr io.Writer, env func(string) string, signals <-chan os.Signal) error {
 	if len(args) == 0 {
 		fmt.Fprint(stderr, usage)
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -4,7 +4,6 @@
 // starts and ends. This file owns that order; it must never decide about a query.
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -25,11 +24,6 @@
 )
 
 const (
-	watchWait   = 20 * time.Second
-	watchSlack  = 1500 * time.Millisecond
-	watchRetry  = 50 * time.Millisecond
-	watchMost   = time.Second
-	maxList     = 4 << 20
 	maxDatagram = 256
 	ownSockets  = 40 // descriptors for all but clients, nodes and operators
 	nodeShare   = 4  // one in so many descriptors is kept for nodes
@@ -41,6 +35,8 @@
 	serveLeast = 800 * time.Millisecond // left for what came last
 	lastReply  = 300 * time.Millisecond // the same where a successor serves, and little comes
 	quietOn    = 500 * time.Millisecond // without a request, for clients to count as gone elsewhere
+
+	firstWord = time.Second // that a start waits for discovery before it serves by an older list
 )
 
 // Extra is another front on the same core.
@@ -238,6 +234,16 @@
 	case <-k.stop:
 		return
 	}
+	// Where the list is pushed, what the agent has counts as told from the first moment, and what was known
+	// before the start may be old: a client is better served after discovery's own word, if that comes soon.
+	if !beside && k.cfg.Discovery != "" && !k.cfg.Module.Subscribe {
+		select {
+		case <-k.watcher.whole:
+		case <-time.After(firstWord):
+		case <-k.stop:
+			return
+		}
+	}
 	if beside {
 		select {
 		case <-k.watcher.whole:
@@ -587,205 +593,6 @@
 	})
 }
 
-// watcher follows discovery.
-type watcher struct {
-	cfg   *Config
-	log   *slog.Logger
-	nodes *Nodes
-	post  func(core.Event)
-	on    chan bool
-	fetch chan struct{}
-	move  chan string
-	stop  chan struct{}
-	whole chan struct{} // closed once discovery has given the whole list
-	seq   int64
-	// beside is set where another process of this coordinator serves and has long heard more than is known here.
-	beside bool
-}
-
-// Watch is the module's wish to hear of changes.
-func (w *watcher) Watch(on bool) {
-	select {
-	case w.on <- on:
-	default:
-	}
-}
-
-// Fetch is the module's wish for the whole list.
-func (w *watcher) Fetch() {
-	select {
-	case w.fetch <- struct{}{}:
-	default:
-	}
-}
-
-// moveTo makes discovery's address another one.
-func (w *watcher) moveTo(addr string) {
-	select {
-	case w.move <- addr:
-	case <-w.stop:
-	}
-}
-
-// run keeps the list up to date. Each next call follows the last answer at once, so that the watch goes on.
-// A call runs beside this loop: one that waits, or still dials, must not hold up a move to another address.
-func (w *watcher) run(watching bool) {
-	addr := w.cfg.Discovery
-	asked := !watching // by the module, which wants to hear of a failure
-	// The whole list is asked for at the start where it costs nothing. Where a call is work for discovery, a
-	// watch goes on from the list that was known before the start: many coordinators that start together would
-	// else ask for more lines than discovery can give, and none of them would hear of anything.
-	wait, whole, wanted := watchRetry, watching || w.seq == 0 || w.beside, false
-	var c *lnet.Client // at rest between calls
-	var out *watchCall
-	var again <-chan time.Time // after a failure
-	abandon := func() {
-		if out != nil {
-			out.cancel()
-			out = nil
-		}
-		if c != nil {
-			c.Close()
-			c = nil
-		}
-	}
-	for {
-		if out == nil && again == nil && (watching || wanted) {
-			wanted = false
-			target, limit := "/discovery/hosts", watchSlack
-			if !whole {
-				target = fmt.Sprintf("/discovery/hosts?index=%d&wait=%d", w.seq, watchWait.Milliseconds())
-				limit += watchWait
-			}
-			out = &watchCall{c: c, done: make(chan watchResult, 1)}
-			c = nil
-			go out.run(addr, target, limit)
-		}
-		var done <-chan watchResult
-		if out != nil {
-			done = out.done
-		}
-		select {
-		case watching = <-w.on:
-			if !watching {
-				abandon()
-			}
-		case <-w.fetch:
-			abandon()
-			whole, wanted, again = true, true, nil
-		case <-again:
-			again = nil
-		case addr = <-w.move:
-			// What a call to the old address would still bring is in the new one's whole list.
-			abandon()
-			wait, whole, again = watchRetry, true, nil
-		case <-w.stop:
-			abandon()
-			return
-		case r := <-done:
-			c, out = r.c, nil
-			if r.err == nil {
-				wait, whole = watchRetry, false
-				w.take(r.list)
-				continue
-			}
-			w.log.Warn("discovery did not answer", "address", addr, "err", r.err)
-			if asked {
-				watching = false
-				w.post(core.Listed{Mode: balance.Failed})
-				continue
-			}
-			again = time.After(wait)
-			wait = min(2*wait, watchMost)
-		}
-	}
-}
-
-// take hands a list on. An answer without changes says nothing.
-func (w *watcher) take(list *hostList) {
-	w.seq = list.Seq
-	if !list.Whole && len(list.Hosts) == 0 {
-		return
-	}
-	mode := balance.Delta
-	if list.Whole {
-		mode = balance.Full
-	}
-	w.nodes.Learn(list.Hosts, list.Whole)
-	w.post(core.Listed{Mode: mode, Replicas: w.cfg.replicas(list.Hosts)})
-	if list.Whole {
-		select {
-		case <-w.whole:
-		default:
-			close(w.whole)
-		}
-	}
-}
-
-// watchCall is one call to discovery.
-type watchCall struct {
-	done chan watchResult
-	mu   sync.Mutex // guards c, over
-	c    *lnet.Client
-	over bool
-}
-
-// watchResult is how a call ended; the connection, if it can carry the next one, comes along.
-type watchResult struct {
-	list *hostList
-	c    *lnet.Client
-	err  error
-}
-
-// cancel ends a call that nobody waits for any more, also one that still dials.
-func (k *watchCall) cancel() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.over = true
-	if k.c != nil {
-		k.c.Close()
-	}
-}
-
-func (k *watchCall) run(addr, target string, limit time.Duration) {
-	list, err := k.call(addr, target, limit)
-	k.mu.Lock()
-	c := k.c
-	if k.over || c != nil && (err != nil || !c.Sound()) {
-		if c != nil {
-			c.Close()
-		}
-		c = nil
-	}
-	k.mu.Unlock()
-	k.done <- watchResult{list: list, c: c, err: err}
-}
-
-func (k *watchCall) call(addr, target string, limit time.Duration) (*hostList, error) {
-	if k.c == nil {
-		c, err := lnet.Dial(addr, time.Second, maxList)
-		if err != nil {
-			return nil, err
-		}
-		k.mu.Lock()
-		k.c = c
-		over := k.over
-		k.mu.Unlock()
-		if over {
-			return nil, net.ErrClosed
-		}
-	}
-	reply, err := k.c.Do("GET", target, addr, nil, nil, time.Now().Add(limit))
-	if err != nil {
-		return nil, err
-	}
-	if reply.Status != 200 {
-		return nil, fmt.Errorf("status %d", reply.Status)
-	}
-	list := &hostList{}
-	return list, json.Unmarshal(reply.Body, list)
-}
-
 // peers carries datagrams between coordinators.
 type peers struct {
 	cfg  *Config
--- /dev/null
+++ b/internal/platform/watch.go
@@ -0,0 +1,274 @@
+package platform
+
+// The watch on discovery. This file owns the calls for the list and when they are made; it must never decide what
+// a list means.
+//
+// A change counts as told 6 s (toldAfter) after discovery had it and could be reached, whatever became of a call;
+// where the list is pushed what the agent has counts at once, but for what a watch that has fallen silent misses,
+// which counts 6 s after that. So, with the times below:
+//
+//	silence + watchRetry + limit + watchRetry + limit <= toldAfter     pushed: 1.85 s, two calls at worst
+//	silence + balance.AskAgain + patientLimit <= toldAfter             asked for: 5.7 s
+//	balance.AskMost + patientLimit <= toldAfter                        asked for, after many failures: 5 s
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"lapislever/balance"
+	"lapislever/internal/core"
+	lnet "lapislever/internal/net"
+)
+
+const (
+	toldAfter  = 6 * time.Second // the operators' page on the whole fleet
+	watchRetry = 50 * time.Millisecond
+	dialMost   = time.Second
+	maxList    = 4 << 20 // bytes
+	// One in so many calls in a row without an answer is given this long.
+	patientEvery = 4
+	patientLimit = time.Second
+)
+
+// watcher follows discovery.
+type watcher struct {
+	cfg   *Config
+	log   *slog.Logger
+	nodes *Nodes
+	post  func(core.Event)
+	on    chan bool
+	fetch chan struct{}
+	move  chan string
+	stop  chan struct{}
+	whole chan struct{} // closed once discovery has given the whole list
+	seq   int64
+	// beside is set where another process of this coordinator serves and has long heard more than is known here.
+	beside bool
+}
+
+// Watch is the module's wish to hear of changes.
+func (w *watcher) Watch(on bool) {
+	select {
+	case w.on <- on:
+	default:
+	}
+}
+
+// Fetch is the module's wish for the whole list.
+func (w *watcher) Fetch() {
+	select {
+	case w.fetch <- struct{}{}:
+	default:
+	}
+}
+
+// moveTo makes discovery's address another one.
+func (w *watcher) moveTo(addr string) {
+	select {
+	case w.move <- addr:
+	case <-w.stop:
+	}
+}
+
+// terms are the times of one kind of watch.
+type terms struct {
+	wait  time.Duration // that a call asks discovery to wait for news
+	limit time.Duration // for an answer that is due, the dialling included
+}
+
+// The terms where the agent on this machine is sent the list, and where each call is work for discovery.
+var (
+	pushed = terms{wait: time.Second, limit: 250 * time.Millisecond}
+	asking = terms{wait: 3 * time.Second, limit: 700 * time.Millisecond}
+)
+
+// silence is how long a watch that has fallen silent passes for a sound one.
+func (t terms) silence() time.Duration { return t.wait + t.limit }
+
+// fetchLimit is how long a call may take that is to be answered at once, after so many that were not. Now and
+// then one is given longer, or an agent that is slow would never be heard.
+func (t terms) fetchLimit(failed int) time.Duration {
+	if failed%patientEvery == patientEvery-1 {
+		return max(t.limit, patientLimit)
+	}
+	return t.limit
+}
+
+// run keeps the list up to date. Each next call follows the last answer at once, so that the watch goes on.
+// A call runs beside this loop: one that waits, or still dials, must not hold up a move to another address.
+func (w *watcher) run(watching bool) {
+	addr := w.cfg.Discovery
+	asked := !watching // by the module, which wants to hear of a failure
+	t := pushed
+	if asked {
+		t = asking
+	}
+	// The whole list is asked for at the start where it costs nothing. Where a call is work for discovery, a
+	// watch goes on from the list that was known before the start: many coordinators that start together would
+	// else ask for more lines than discovery can give, and none of them would hear of anything.
+	whole, wanted := watching || w.seq == 0 || w.beside, false
+	failed := 0         // calls in a row
+	var begun time.Time // of the call that is out
+	var c *lnet.Client  // at rest between calls
+	var out *watchCall
+	var again <-chan time.Time // after a failure
+	abandon := func() {
+		if out != nil {
+			out.cancel()
+			out = nil
+		}
+		if c != nil {
+			c.Close()
+			c = nil
+		}
+	}
+	for {
+		if out == nil && again == nil && (watching || wanted) {
+			wanted = false
+			target, limit := "/discovery/hosts", t.fetchLimit(failed)
+			if !whole {
+				target = fmt.Sprintf("/discovery/hosts?index=%d&wait=%d", w.seq, t.wait.Milliseconds())
+				limit = t.silence()
+			}
+			begun = time.Now()
+			out = &watchCall{c: c, done: make(chan watchResult, 1)}
+			c = nil
+			go out.run(addr, target, limit)
+		}
+		var done <-chan watchResult
+		if out != nil {
+			done = out.done
+		}
+		select {
+		case watching = <-w.on:
+			if !watching {
+				abandon()
+			}
+		case <-w.fetch:
+			abandon()
+			whole, wanted, again = true, true, nil
+		case <-again:
+			again = nil
+		case addr = <-w.move:
+			// What a call to the old address would still bring is in the new one's whole list.
+			abandon()
+			failed, whole, again = 0, true, nil
+		case <-w.stop:
+			abandon()
+			return
+		case r := <-done:
+			c, out = r.c, nil
+			if r.err == nil {
+				if failed > 0 {
+					w.log.Info("discovery answers again", "address", addr, "failed", failed)
+				}
+				failed, whole = 0, false
+				if told := w.take(r.list); !told && time.Since(begun) < watchRetry {
+					again = time.After(watchRetry) // it does not wait for news
+				}
+				continue
+			}
+			if failed++; failed == 1 {
+				w.log.Warn("discovery did not answer", "address", addr, "err", r.err)
+			}
+			if asked {
+				watching = false
+				w.post(core.Listed{Mode: balance.Failed})
+				continue
+			}
+			whole = true // what the watch has missed costs nothing
+			again = time.After(watchRetry)
+		}
+	}
+}
+
+// take hands a list on. An answer without changes says nothing.
+func (w *watcher) take(list *hostList) (told bool) {
+	w.seq = list.Seq
+	if !list.Whole && len(list.Hosts) == 0 {
+		return false
+	}
+	mode := balance.Delta
+	if list.Whole {
+		mode = balance.Full
+	}
+	w.nodes.Learn(list.Hosts, list.Whole)
+	w.post(core.Listed{Mode: mode, Replicas: w.cfg.replicas(list.Hosts)})
+	if list.Whole {
+		select {
+		case <-w.whole:
+		default:
+			close(w.whole)
+		}
+	}
+	return true
+}
+
+// watchCall is one call to discovery.
+type watchCall struct {
+	done chan watchResult
+	mu   sync.Mutex // guards c, over
+	c    *lnet.Client
+	over bool
+}
+
+// watchResult is how a call ended; the connection, if it can carry the next one, comes along.
+type watchResult struct {
+	list *hostList
+	c    *lnet.Client
+	err  error
+}
+
+// cancel ends a call that nobody waits for any more, also one that still dials.
+func (k *watchCall) cancel() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.over = true
+	if k.c != nil {
+		k.c.Close()
+	}
+}
+
+func (k *watchCall) run(addr, target string, limit time.Duration) {
+	list, err := k.call(addr, target, limit)
+	k.mu.Lock()
+	c := k.c
+	if k.over || c != nil && (err != nil || !c.Sound()) {
+		if c != nil {
+			c.Close()
+		}
+		c = nil
+	}
+	k.mu.Unlock()
+	k.done <- watchResult{list: list, c: c, err: err}
+}
+
+func (k *watchCall) call(addr, target string, limit time.Duration) (*hostList, error) {
+	until := time.Now().Add(limit)
+	if k.c == nil {
+		c, err := lnet.Dial(addr, min(limit, dialMost), maxList)
+		if err != nil {
+			return nil, err
+		}
+		k.mu.Lock()
+		k.c = c
+		over := k.over
+		k.mu.Unlock()
+		if over {
+			return nil, net.ErrClosed
+		}
+	}
+	reply, err := k.c.Do("GET", target, addr, nil, nil, until)
+	if err != nil {
+		return nil, err
+	}
+	if reply.Status != 200 {
+		return nil, fmt.Errorf("status %d", reply.Status)
+	}
+	list := &hostList{}
+	return list, json.Unmarshal(reply.Body, list)
+}
--- /dev/null
+++ b/internal/platform/watch_test.go
@@ -0,0 +1,236 @@
+package platform
+
+// The watch in its narrow moments. Discovery is a script: it has each call in its hands, and says when and how
+// much of an answer goes out.
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"lapislever/balance"
+	"lapislever/internal/standin"
+)
+
+// scripted is a stand-in for discovery that hands each call to a function, with the connection that it came on.
+type scripted struct {
+	addr string
+	mu   sync.Mutex
+	seen []string
+}
+
+func newScripted(t *testing.T, f func(n int, query string, c *net.TCPConn)) *scripted {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	d := &scripted{addr: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				for br := bufio.NewReader(c); ; {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						_ = c.Close()
+						return
+					}
+					d.mu.Lock()
+					d.seen = append(d.seen, r.URL.RawQuery)
+					n := len(d.seen)
+					d.mu.Unlock()
+					f(n, r.URL.RawQuery, c.(*net.TCPConn))
+				}
+			}()
+		}
+	}()
+	return d
+}
+
+func (d *scripted) count() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.seen)
+}
+
+// list is an answer's body.
+func list(seq int, whole bool, hosts ...host) string {
+	b, _ := json.Marshal(hostList{Seq: int64(seq), Whole: whole, Hosts: hosts})
+	return string(b)
+}
+
+// tell writes a sound answer.
+func tell(c net.Conn, body string) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// reset ends a connection without an end.
+func reset(c *net.TCPConn) {
+	_ = c.SetLinger(0)
+	_ = c.Close()
+}
+
+// With each time limit the change that a call has missed is heard before it counts as told.
+func TestWatchHearsBeforeItCountsAsTold(t *testing.T) {
+	us := func(m balance.Micros) time.Duration { return time.Duration(m) * time.Microsecond }
+	for name, worst := range map[string]time.Duration{
+		"pushed, fallen silent":    pushed.silence() + 2*(watchRetry+pushed.limit),
+		"pushed, after many calls": watchRetry + patientLimit + watchRetry + pushed.limit,
+		"asked for, fallen silent": asking.silence() + us(balance.AskAgain) + patientLimit,
+		"asked for, after many":    us(balance.AskMost) + patientLimit,
+	} {
+		if worst > toldAfter {
+			t.Errorf("%s: heard after %v, told after %v", name, worst, toldAfter)
+		}
+	}
+	for failed := range 12 {
+		if limit := pushed.fetchLimit(failed); limit > pushed.limit && failed%patientEvery != patientEvery-1 {
+			t.Errorf("call %d may take %v", failed, limit)
+		}
+	}
+}
+
+// However a call ends that tells nothing, the whole list is asked for anew, and what it does not name is gone,
+// also where it still answers. What came before a reset, or of an answer that never ends, is no answer.
+func TestWatchThatEndsWithoutTelling(t *testing.T) {
+	for name, end := range map[string]func(c *net.TCPConn, wrong string){
+		"silent":    func(*net.TCPConn, string) {},
+		"closed":    func(c *net.TCPConn, _ string) { _ = c.Close() },
+		"reset":     func(c *net.TCPConn, _ string) { reset(c) },
+		"500":       func(c *net.TCPConn, _ string) { fmt.Fprint(c, "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n") },
+		"no JSON":   func(c *net.TCPConn, _ string) { tell(c, "{") },
+		"half head": func(c *net.TCPConn, _ string) { fmt.Fprint(c, "HTTP/1.1 200 OK\r\nConte"); _ = c.Close() },
+		"without a length, and reset": func(c *net.TCPConn, wrong string) {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n\r\n%s", wrong)
+			time.AfterFunc(50*time.Millisecond, func() { reset(c) }) // its bytes have been read, or the call is over
+		},
+		"without an end": func(c *net.TCPConn, wrong string) {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(wrong), wrong)
+		},
+	} {
+		t.Run(strings.ReplaceAll(name, " ", "_"), func(t *testing.T) {
+			t.Parallel()
+			a, b := standin.NewNode(t, ok), standin.NewNode(t, ok)
+			both := []host{hostAt("a", a.Addr, 0), hostAt("b", b.Addr, 0)}
+			var over atomic.Bool
+			d := newScripted(t, func(n int, query string, c *net.TCPConn) {
+				switch {
+				case n == 1:
+					tell(c, list(1, true, both...))
+				case query != "" && over.CompareAndSwap(false, true):
+					end(c, list(2, true, hostAt("wrong", a.Addr, 0)))
+				case query == "":
+					var indented strings.Builder
+					e := json.NewEncoder(&indented)
+					e.SetIndent("", "    ")
+					_ = e.Encode(hostList{Seq: 3, Whole: true, Hosts: both[1:]})
+					tell(c, indented.String())
+				}
+			})
+			k := run(t, config(t, &discovery{addr: d.addr}))
+			standin.Until(t, "the whole list", func() bool { return k.core.Counts().Listed.Load() == 1 })
+			d.mu.Lock()
+			for _, query := range d.seen {
+				if strings.HasPrefix(query, "index=2&") {
+					t.Error("a list without an end was taken")
+				}
+			}
+			d.mu.Unlock()
+			before := len(a.Parts())
+			for range 20 {
+				if r := post(t, k, "rate-check", 0); r.Status != 200 {
+					t.Fatalf("%d %s", r.Status, r.Body)
+				}
+			}
+			if n := len(a.Parts()) - before; n != 0 || len(b.Parts()) == 0 {
+				t.Fatalf("%d parts went to a node that is gone, %d to the other", n, len(b.Parts()))
+			}
+		})
+	}
+}
+
+// Discovery is silent and then answers again: calls were made all the while, so that the first one it can answer
+// tells of what has changed.
+func TestWatchGoesOnAskingWhileDiscoveryIsDown(t *testing.T) {
+	a, b := standin.NewNode(t, ok), standin.NewNode(t, ok)
+	both := []host{hostAt("a", a.Addr, 0), hostAt("b", b.Addr, 0)}
+	var mu sync.Mutex
+	down := false
+	d := newScripted(t, func(n int, query string, c *net.TCPConn) {
+		mu.Lock()
+		defer mu.Unlock()
+		if !down && query == "" {
+			tell(c, list(n, true, both...))
+		}
+	})
+	k := run(t, config(t, &discovery{addr: d.addr}))
+	mu.Lock()
+	down = true
+	mu.Unlock()
+	asked := d.count()
+	standin.Until(t, "calls to a silent discovery", func() bool { return d.count() > asked+2*patientEvery })
+	mu.Lock()
+	both[0].Health = "terminating"
+	asked, down = d.count(), false
+	mu.Unlock()
+	standin.Until(t, "the answer", func() bool { return d.count() > asked+1 })
+	before := len(a.Parts())
+	for range 20 {
+		post(t, k, "rate-check", 0)
+	}
+	if n := len(a.Parts()) - before; n != 0 {
+		t.Fatalf("%d parts went to a node that drains", n)
+	}
+}
+
+// A new process knows a list that has become old. What discovery has counts from its first moment: nobody is
+// sent here before that has been heard, and then by that alone.
+func TestStartWaitsForDiscoverysWord(t *testing.T) {
+	a, b := standin.NewNode(t, ok), standin.NewNode(t, ok)
+	both := []host{hostAt("a", a.Addr, 0), hostAt("b", b.Addr, 0)}
+	drains := []host{both[0], both[1]}
+	drains[0].Health = "terminating"
+	asked, free := make(chan struct{}, 100), make(chan struct{})
+	d := newScripted(t, func(n int, query string, c *net.TCPConn) {
+		asked <- struct{}{}
+		if query == "" {
+			<-free
+			tell(c, list(9, true, drains...))
+		}
+	})
+	c := config(t, &discovery{addr: d.addr})
+	c.Known = &hostList{Seq: 7, Whole: true, Hosts: both}
+	k, err := Start(c, standin.Quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(k.Close)
+	<-asked
+	<-k.listed // the old list is taken in
+	if k.front.ready.Load() {
+		t.Fatal("ready by an old list alone")
+	}
+	close(free)
+	standin.Until(t, "readiness", k.front.ready.Load)
+	standin.Until(t, "the list", func() bool { _, open := <-k.watcher.whole; return !open })
+	for range 20 {
+		if r := post(t, k, "rate-check", 0); r.Status != 200 {
+			t.Fatalf("%d %s", r.Status, r.Body)
+		}
+	}
+	if n := len(a.Parts()); n != 0 {
+		t.Fatalf("%d parts went to a node that drains", n)
+	}
+}
