End resting connections by the goroutine that takes their requests, and see a flooding client leave

- At the end of a server a resting connection was closed by another goroutine (Finish, conn.go).
A request that had been read off the socket and was not in the ring yet was then handled, sent on and could not be answered.
The goroutine that takes requests now ends its connection itself, between two of them.
- It was closed over what lay unread: the reset took the reply on its way with it ("connection reset by peer" in the test).
Resting connections, also those that are idle for too long, are now told the end, read until the client has left, and only then closed.
What is read then is never sent on.
- A client whose request is out and who has sent more than the ring holds was not read any more, so that its leaving was never seen.
After 30 ms of a full ring its bytes are read and thrown away; whole requests before that are answered in order, then it gets 413 and the end.
The ring may hold 256 KiB now, so that commands sent at once find room.
- A connection was closed to make way while its last word could still be on its way.
It counts as busy for 0.3 s now.

A first request on a connection accepted just before the end has 0.3 s to come; half a request at the very end gets 503 and the end rather than the reset of a process that exits. Where no descriptor is left for a data node, a client's connection between requests makes way.

TestFinishEndsIdleConnectionsAndNoOthers asked for an error to a request sent after Finish; such a request may now be answered if it comes before the end is told. The test instead reads the end, clean and without a request.

--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -28,26 +28,33 @@
 
 // Sizes and limits of the network code.
 const (
-	MaxBody    = 64 << 10 // a body that the protocol allows
-	MaxHead    = 16 << 10 // a request or status line with its headers
-	firstRing  = 1 << 10
-	freeRing   = 4 << 10              // up to here a ring grows without being booked: most requests are smaller
-	largeRing  = 16 << 10             // an emptied ring beyond this gives its memory back
-	outRing    = 16 << 10             // replies are written through it piece by piece
-	poolSize   = 24 << 20             // all clients' rings together, beyond that, unless the budget says less
-	drainSize  = 16 << 10             // read at once of what is thrown away
-	idleLimit  = 10 * time.Second     // a client connection between requests
-	spareLimit = time.Second          // and of one beyond the budget, until it is refused
-	SpareMost  = 16                   // connections of that kind
-	waitStep   = 5 * time.Millisecond // between looks at whether all connections have ended
+	MaxBody   = 64 << 10 // a body that the protocol allows
+	MaxHead   = 16 << 10 // a request or status line with its headers
+	firstRing = 1 << 10
+	freeRing  = 4 << 10   // up to here a ring grows without being booked: most requests are smaller
+	largeRing = 16 << 10  // an emptied ring beyond this gives its memory back
+	outRing   = 16 << 10  // replies are written through it piece by piece
+	aheadMost = 256 << 10 // what a client may send ahead of its replies: the ring's most
+	// A client whose request is out and whose ring is full for so long is read on, and what comes is thrown away:
+	// only a read tells that it leaves, within the 0.1 s in which its request must not go on.
+	aheadLimit = 30 * time.Millisecond
+	fullPause  = 10 * time.Millisecond // between looks at a full ring
+	poolSize   = 24 << 20              // all clients' rings together, beyond that, unless the budget says less
+	drainSize  = 16 << 10              // read at once of what is thrown away
+	idleLimit  = 10 * time.Second      // a client connection between requests
+	spareLimit = time.Second           // and of one beyond the budget, until it is refused
+	SpareMost  = 16                    // connections of that kind
+	waitStep   = 5 * time.Millisecond  // between looks at whether all connections have ended
 	// A client is owed an answer or the end within 3 s of connecting, also for half a request or none.
 	requestLimit = 2500 * time.Millisecond
 	replyLimit   = 5 * time.Second
 	// After an error the client may be sending still: it gets to read the error for as long as it sends.
 	lingerLimit = 4 * time.Second
 	lingerQuiet = 500 * time.Millisecond
-	// Before this a client's first request may be under way, and a request that began come to its end.
+	// Before this a client's first request may be under way, a request that began come to its end, and a reply be
+	// on its way.
 	graceLimit = 300 * time.Millisecond
+	partLimit  = 200 * time.Millisecond // left at the very end for the last word to a request that is not all there
 )
 
 // ErrFull tells that a ring buffer holds as much as it may.
@@ -217,6 +224,7 @@
 	clients          atomic.Int64 // of those in use
 	spare            atomic.Int64 // beyond it, each for a client that is to be refused
 	rings            pool
+	spared           atomic.Pointer[func() bool] // closes a connection that can be spared, if there is one
 }
 
 // NewBudget returns a budget of most descriptors with kept of them closed to clients.
@@ -242,8 +250,18 @@
 	}
 }
 
-// TakeServer takes one for a connection to a server.
-func (b *Budget) TakeServer() bool { return b.take(0) }
+// TakeServer takes one for a connection to a server. Where none is left a client's connection that is between
+// requests makes way: nobody is served by holding it.
+func (b *Budget) TakeServer() bool {
+	if b.take(0) {
+		return true
+	}
+	f := b.spared.Load()
+	return f != nil && (*f)() && b.take(0)
+}
+
+// spareBy has a connection make way for servers' ones, if f finds one.
+func (b *Budget) spareBy(f func() bool) { b.spared.Store(&f) }
 
 // TakeClient takes one for a client's connection.
 func (b *Budget) TakeClient() bool {
@@ -318,13 +336,15 @@
 
 // Server accepts clients' connections and serves HTTP/1.1 on them.
 type Server struct {
-	l       net.Listener
-	handle  Handler
-	budget  *Budget
-	log     *slog.Logger
-	mu      sync.Mutex
-	conns   map[*serverConn]struct{}
-	closing atomic.Bool
+	l      net.Listener
+	handle Handler
+	budget *Budget
+	log    *slog.Logger
+	mu     sync.Mutex // guards conns, finished
+	conns  map[*serverConn]struct{}
+	// finished: connections end between two requests, also those that were just being accepted.
+	finished bool
+	closing  atomic.Bool
 	// TurnedAway, if set, hears of each request that is refused because too many connections are open.
 	TurnedAway func(r *Request)
 	// Keeper, if set, says who is let in, and Secure, if set, makes the connection one by TLS. Both are set
@@ -363,7 +383,9 @@
 
 // NewServer serves on a listener that is there.
 func NewServer(l net.Listener, budget *Budget, log *slog.Logger, h Handler) *Server {
-	return &Server{l: l, handle: h, budget: budget, log: log, conns: map[*serverConn]struct{}{}}
+	s := &Server{l: l, handle: h, budget: budget, log: log, conns: map[*serverConn]struct{}{}}
+	budget.spareBy(func() bool { return s.evict(fresh) })
+	return s
 }
 
 // Listener is the listener.
@@ -399,10 +421,11 @@
 			_ = c.Close()
 			continue
 		}
-		sc := &serverConn{s: s, raw: c, c: c, in: NewRing(MaxHead + MaxBody), out: NewRing(outRing), held: held,
+		sc := &serverConn{s: s, raw: c, c: c, in: NewRing(aheadMost), out: NewRing(outRing), held: held,
 			more: make(chan struct{}, 1), since: time.Now(), state: waiting, seat: place, after: after}
 		sc.in.pool, sc.out.pool = &s.budget.rings, &s.budget.rings
 		s.mu.Lock()
+		sc.parting = s.finished
 		s.conns[sc] = struct{}{}
 		s.mu.Unlock()
 		if place.k != nil {
@@ -516,16 +539,20 @@
 // Wind has every reply end its connection from now on. Idle connections stay: a request may be on its way.
 func (s *Server) Wind() { s.closing.Store(true) }
 
-// Finish ends the server: from now on every reply ends its connection, and idle ones are closed. Called
-// again, it closes those that have become idle since.
+// Finish ends the server: from now on every reply ends its connection, and so do those that are or come to rest.
+// Each connection is ended by the goroutine that takes its requests, between two of them: it says that nothing
+// more will come, and goes on reading until the client has left, so that no reply on its way is lost and no
+// request is read that is not answered.
 func (s *Server) Finish() {
 	s.Wind()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.finished = true
 	for c := range s.conns {
-		if c.atRest() {
-			c.shut()
-		}
+		c.mu.Lock()
+		c.parting = true
+		c.mu.Unlock()
+		c.signal()
 	}
 }
 
@@ -542,10 +569,20 @@
 // StopListening closes the listener; connections go on.
 func (s *Server) StopListening() { _ = s.l.Close() }
 
-// Wait waits until every connection has ended, or until the time is over. It looks again and again rather
-// than at a sync.WaitGroup: a connection may still be accepted just as the listener closes.
+// Wait waits until every connection has ended, or until the time is over. After Finish, a request that is not all
+// there shortly before that is turned away. It looks again and again rather than at a sync.WaitGroup: a
+// connection may still be accepted just as the listener closes.
 func (s *Server) Wait(most time.Duration) bool {
-	for end := time.Now().Add(most); s.Open() > 0; time.Sleep(waitStep) {
+	end := time.Now().Add(most)
+	s.mu.Lock()
+	for c := range s.conns {
+		c.mu.Lock()
+		c.until = end.Add(-partLimit)
+		c.mu.Unlock()
+		c.signal()
+	}
+	s.mu.Unlock()
+	for ; s.Open() > 0; time.Sleep(waitStep) {
 		if time.Now().After(end) {
 			return false
 		}
@@ -558,7 +595,7 @@
 	s       *Server
 	raw     net.Conn   // the socket
 	c       net.Conn   // the same, or TLS over it
-	mu      sync.Mutex // guards in, err, at, state, since, asked
+	mu      sync.Mutex // guards in, err, at, state, since, asked, replied, parting, until, overrun
 	in, out *Ring
 	more    chan struct{}
 	err     error
@@ -566,6 +603,9 @@
 	state   connState
 	since   time.Time // when this state began
 	asked   bool      // has had a request answered
+	parting bool      // is to end between two requests
+	until   time.Time // while parting, a request has to be there by then
+	overrun bool      // more came ahead than the ring holds, and has been thrown away
 	over    int       // goroutines that have ended
 	held    bool      // has a place in the budget; guarded by the server's mu
 	back    bool
@@ -599,27 +639,20 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch late := time.Since(c.since) > graceLimit; {
-	case c.state == lingering:
+	case c.state == lingering && late:
 		return ending, c.since
-	case c.state != waiting:
+	case c.state != waiting: // or its last word may be on its way, which a close could overtake
 		return kept, c.since
 	case late && !c.asked:
 		return useless, c.since
 	case c.in.Len() > 0:
 		return kept, c.since
-	case c.asked:
+	case c.asked && late:
 		return idle, c.since
 	}
 	return fresh, c.since
 }
 
-// atRest tells that nothing of a request has been read.
-func (c *serverConn) atRest() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.state == waiting && c.in.Len() == 0
-}
-
 // spare closes the connection if no request was taken from it meanwhile.
 func (c *serverConn) spare() bool {
 	c.mu.Lock()
@@ -688,10 +721,16 @@
 
 // fill reads what comes, also while a request waits for its reply: only so is a client's end seen at once.
 func (c *serverConn) fill() {
+	var full time.Duration // the ring has been, while one request is out
+	var out time.Time      // since when that is
 	for ended := false; !ended; {
 		c.mu.Lock()
 		free := c.in.Free()
-		drop := c.state == lingering
+		if free != nil || c.state != serving || c.since != out {
+			full, out = 0, c.since
+		}
+		c.overrun = c.overrun || full >= aheadLimit
+		drop := c.state == lingering || c.overrun
 		ended = c.err != nil
 		c.mu.Unlock()
 		var err error
@@ -701,7 +740,8 @@
 		case drop:
 			err = c.drain()
 		case free == nil: // far more than a request, or no memory: let serve make room or give up on it
-			time.Sleep(10 * time.Millisecond)
+			time.Sleep(fullPause)
+			full += fullPause
 			continue
 		default:
 			var n int
@@ -738,6 +778,9 @@
 	}
 }
 
+// errRest tells that a connection has ended its time between two requests.
+var errRest = errors.New("at rest")
+
 // next waits for a whole request.
 func (c *serverConn) next() (*Request, error) {
 	if !c.become(waiting) {
@@ -746,7 +789,7 @@
 	if c.asked {
 		c.seat.rest() // before its first request it is just about to ask
 	}
-	var began time.Time
+	var began, by time.Time
 	var lack lacks
 	continued := false
 	limit := idleLimit
@@ -765,7 +808,7 @@
 		}
 		if began.IsZero() && c.in.Len() > 0 {
 			began = time.Now()
-			if c.asked {
+			if c.asked || c.parting {
 				timer.Reset(min(limit, requestLimit))
 			}
 		}
@@ -778,6 +821,13 @@
 		if req != nil {
 			c.state, c.since, c.asked = serving, time.Now(), true
 		}
+		rest := c.in.Len() == 0 && began.IsZero()
+		parting, overrun := c.parting, c.overrun
+		if parting && !rest && c.until != by {
+			by = c.until
+			timer.Reset(max(0, min(limit, time.Until(by))))
+		}
+		grace := graceLimit - time.Since(c.since) // a first request may be on its way
 		c.mu.Unlock()
 		switch {
 		case err != nil:
@@ -787,6 +837,12 @@
 			return req, nil
 		case gone != nil:
 			return nil, gone
+		case overrun:
+			return nil, &BadMessage{Status: 413, What: "more was sent ahead than is held"}
+		case parting && rest && (c.asked || grace <= 0):
+			return nil, errRest
+		case parting && rest:
+			timer.Reset(grace)
 		}
 		if lack.word && !continued {
 			continued = true
@@ -797,8 +853,11 @@
 		select {
 		case <-c.more:
 		case <-timer.C:
-			if began.IsZero() {
-				return nil, io.EOF
+			switch {
+			case began.IsZero():
+				return nil, errRest
+			case !by.IsZero() && !time.Now().Before(by):
+				return nil, &BadMessage{Status: 503, What: "this coordinator ends"}
 			}
 			return nil, &BadMessage{Status: 408, What: "the request did not come to its end in time"}
 		}
@@ -830,6 +889,9 @@
 			c.linger()
 			return
 		}
+		if errors.Is(err, errRest) {
+			c.linger()
+		}
 		if err != nil {
 			return
 		}
@@ -890,13 +952,15 @@
 	return writeResponse(c.c, c.out, r, end, headOnly)
 }
 
-// linger lets the client read the reply before the connection goes: closing while bytes of the client lie
-// unread resets the connection, and a reset can overtake the reply. One that is still sending gets that long.
+// linger tells the client that nothing more will come, and lets it read the reply before the connection goes:
+// closing while bytes of the client lie unread resets the connection, and a reset can overtake the reply. What
+// still comes is thrown away: it is never sent on, and the end tells the client so. One that is still sending gets
+// that long.
 func (c *serverConn) linger() {
 	if !c.become(lingering) {
 		return
 	}
-	if t, ok := c.c.(*net.TCPConn); ok {
+	if t, ok := c.c.(interface{ CloseWrite() error }); ok {
 		_ = t.CloseWrite()
 	}
 	c.mu.Lock()
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -150,22 +150,7 @@
 func serve(t *testing.T, budget *Budget) *echo {
 	t.Helper()
 	e := &echo{}
-	s, err := Listen("127.0.0.1:0", budget, slog.New(slog.NewTextHandler(io.Discard, nil)),
-		func(r *Request, x *Exchange) func() {
-			e.mu.Lock()
-			defer e.mu.Unlock()
-			if string(r.Body) == "hold" {
-				e.held = append(e.held, x)
-			} else {
-				x.Reply(Response{Status: 200, Body: r.Body})
-				x.Reply(Response{Status: 500}) // one reply only
-			}
-			return func() {
-				e.mu.Lock()
-				e.gone++
-				e.mu.Unlock()
-			}
-		})
+	s, err := Listen("127.0.0.1:0", budget, slog.New(slog.NewTextHandler(io.Discard, nil)), e.handle)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -175,6 +160,22 @@
 	return e
 }
 
+func (e *echo) handle(r *Request, x *Exchange) func() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if string(r.Body) == "hold" {
+		e.held = append(e.held, x)
+	} else {
+		x.Reply(Response{Status: 200, Body: r.Body})
+		x.Reply(Response{Status: 500}) // one reply only
+	}
+	return func() {
+		e.mu.Lock()
+		e.gone++
+		e.mu.Unlock()
+	}
+}
+
 func (e *echo) count(f func() int) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -435,8 +436,8 @@
 	}
 	until(t, "the request", func() bool { return e.count(func() int { return len(e.held) }) == 1 })
 	e.Finish()
-	if _, err := idle.post("x"); err == nil {
-		t.Error("the idle connection goes on")
+	if _, err := idle.Read(time.Now().Add(20 * time.Second)); !errors.Is(err, io.EOF) {
+		t.Errorf("the idle connection goes on, or was reset: %v", err)
 	}
 	e.held[0].Reply(Response{Status: 200, Body: []byte("done")})
 	r, err := busy.Read(time.Now().Add(20 * time.Second))
