--- a/balance/balance.go
+++ b/balance/balance.go
@@ -78,7 +78,9 @@
 	leastCold   = 1e-6       // parts a us from all peers, times the cold share, where nothing is known
 	coldBoost   = 1.0        // share of what the told multiple leaves above 1 that a cold replica may get
 	coldBurst   = 0.6        // share of what the told multiple leaves above the rate that may be saved up
-	gaugeSpan   = 2_000_000  // us over which served parts are counted
+	gaugeSpan   = 2_000_000  // us over which served parts are counted, at the least
+	gaugeParts  = 64.0       // of fewer the count goes on, less what is chance, as the largest of many
+	gaugeMost   = 8          // small counts is far over what is carried; so many spans at the most
 	carriedLife = 60_000_000 // us after which half of what was carried is forgotten
 
 	// Idle connections.
@@ -919,10 +921,17 @@
 	}
 	b.carried *= math.Exp2(-float64(gaugeSpan) / carriedLife)
 	b.usualSize = max(size, b.usualSize*math.Exp2(-float64(gaugeSpan)/carriedLife))
-	if b.usualSize > 0 {
-		b.carried = max(b.carried, float64(b.served)/gaugeSpan/b.usualSize)
+	n := b.served
+	if n < gaugeParts {
+		n -= math.Sqrt(n) // by which a count differs from its mean by chance
 	}
-	b.served, b.gaugeAt = 0, b.now+gaugeSpan
+	if b.counted++; b.usualSize > 0 {
+		b.carried = max(b.carried, n/float64(b.counted*gaugeSpan)/b.usualSize)
+	}
+	if b.served >= gaugeParts || b.counted >= gaugeMost {
+		b.served, b.counted = 0, 0
+	}
+	b.gaugeAt = b.now + gaugeSpan
 	b.report()
 	for _, w := range []*window{&b.taken, &b.extras, &b.copies} {
 		w.count(b.now - b.span) // forget what no limit looks at any more
--- a/balance/state.go
+++ b/balance/state.go
@@ -36,8 +36,9 @@
 	tenants    []window // queries of each
 	extras     window   // attempts beyond a part's first
 	copies     window
-	served     int    // successes of warm replicas since the last gauge
-	span       Micros // that limits of further attempts look at
+	served     float64 // successes of warm replicas while they are counted
+	counted    int     // spans that the count has lasted
+	span       Micros  // that limits of further attempts look at
 	gaugeAt    Micros
 	carried    float64 // parts a us and unit of size that warm replicas have served us
 	usualSize  float64 // of all warm replicas
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -513,7 +513,7 @@
 		h := &hosts[i]
 		zone := -1
 		for j, z := range c.Zones {
-			if z == h.Site {
+			if z == scalar(h.Site) { // as the settings are read
 				zone = j
 			}
 		}
