Take no class of one deployment where none is named

Read for the same and left: names in deploy/*.toml (examples of this deployment), in the rig and in rehearsals (their own settings); the names of load-report columns are the protocol's.

--- a/cmd/lapislever/main.go
+++ b/cmd/lapislever/main.go
@@ -79,7 +79,7 @@
 		flags.StringVar(&from.fleet, "fleet", "", "take part in the fleet that this file names")
 	case "import":
 		flags.StringVar(&into.Listen, "listen", "127.0.0.1:9090", "address that the front listens on")
-		flags.StringVar(&into.Class, "class", "day-report", "class of range queries")
+		flags.StringVar(&into.Class, "class", "", "class that requests count as")
 		flags.StringVar(&into.For, "for", importer.Ranges, "what the file is for: promql or translate")
 		files = 1
 	case "admission":
--- a/cmd/lapislever/main_test.go
+++ b/cmd/lapislever/main_test.go
@@ -30,6 +30,7 @@
 	"worker.a.port=9101\n"
 
 const sound = `listen = "127.0.0.1:0"
+class = "day-report"
 [[server]]
 name = "a"
 address = "127.0.0.1:1"
@@ -61,8 +62,9 @@
 		{args: []string{"fleet", "--door", "127.0.0.1:1"}, usage: true},
 		{args: []string{"fleet", "--door", "127.0.0.1:1", "dance"}, usage: true},
 		{args: []string{"fleet", "--door", "127.0.0.1:1", "members"}, fail: true},
-		{args: []string{"import", unsound}, fail: true},
-		{args: []string{"import", jk, "--listen", "127.0.0.1:7"}, out: `listen = "127.0.0.1:7"`},
+		{args: []string{"import", unsound, "--class", "ranges"}, fail: true},
+		{args: []string{"import", jk}, fail: true}, // of no class
+		{args: []string{"import", jk, "--class", "ranges", "--listen", "127.0.0.1:7"}, out: `listen = "127.0.0.1:7"`},
 	} {
 		var out, errs bytes.Buffer
 		err := run(c.args, &out, &errs, func(string) string { return "" }, nil)
@@ -77,7 +79,8 @@
 // What import prints is a file that serve starts with, and it reports what it could not take.
 func TestServeTakesWhatImportPrints(t *testing.T) {
 	var file, remarks bytes.Buffer
-	args := []string{"import", write(t, "workers.properties", workers), "--listen", "127.0.0.1:0"}
+	args := []string{"import", write(t, "workers.properties", workers), "--class", "ranges",
+		"--listen", "127.0.0.1:0"}
 	if err := run(args, &file, &remarks, os.Getenv, nil); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/importer/importer.go
+++ b/internal/importer/importer.go
@@ -6,6 +6,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"net"
 	"net/url"
@@ -42,7 +43,7 @@
 type Options struct {
 	For    string // Ranges or Translation
 	Listen string // where the front listens; for translation, by AJP
-	Class  string // of range queries
+	Class  string // that requests count as
 }
 
 // reader is the state of one import.
@@ -69,6 +70,9 @@
 	if o.For != Ranges && o.For != Translation {
 		return nil, fmt.Errorf("nothing is made for %q: promql or translate", o.For)
 	}
+	if o.Class == "" {
+		return nil, errors.New("the class is missing that requests count as: these files name none")
+	}
 	r := &reader{to: o.For, names: map[string]int{}, draining: map[string]bool{}, ajp: map[string]string{}}
 	var err error
 	if isApache(text) {
@@ -81,7 +85,7 @@
 	}
 	var b bytes.Buffer
 	if o.For == Translation {
-		err = toml.NewEncoder(&b).Encode(r.translation(o.Listen))
+		err = toml.NewEncoder(&b).Encode(r.translation(o))
 	} else {
 		err = toml.NewEncoder(&b).Encode(promql.Config{Listen: o.Listen, Class: o.Class, Servers: r.servers})
 	}
@@ -100,13 +104,19 @@
 	return &Result{File: b.String(), Remarks: r.remarks}, nil
 }
 
+// The class of an imported front. Nothing in these files tells how long a request may take or whether it may be
+// repeated, so that nothing is, and the times are those of a range query's own start without settings.
+const (
+	classAim      = 3.0  // seconds
+	classDeadline = 10.0 // seconds
+)
+
 // translation is the file for old terminals: the workers are nodes of the new form, and the front that
-// forwarded to them by AJP forwards to us. The classes are the ledger's, to be looked over.
-func (r *reader) translation(listen string) *kiosk.Config {
+// forwarded to them by AJP forwards to us. The class is named by the caller, and is to be looked over.
+func (r *reader) translation(o Options) *kiosk.Config {
+	listen := o.Listen
 	c := &kiosk.Config{Classes: []kiosk.Class{
-		{Name: "day-report", Effect: "safe", Aim: 3, Deadline: 10, Worth: 5},
-		{Name: "rate-check", Effect: "safe", Aim: 1.5, Deadline: 4, Worth: 1, LateWorth: 0.3},
-		{Name: "exchange-post", Effect: "keyed", Aim: 1.5, Deadline: 3, Window: 3, Worth: 1}}}
+		{Name: o.Class, Effect: "unsafe", Aim: classAim, Deadline: classDeadline, Worth: 1}}}
 	c.AJP.Listen, c.AJP.Secret = listen, r.ajp["secret"]
 	c.AJP.Packet, _ = strconv.Atoi(r.ajp["max_packet_size"])
 	for _, s := range r.servers {
--- a/internal/importer/importer_test.go
+++ b/internal/importer/importer_test.go
@@ -190,7 +190,7 @@
 worker.c.secret=other
 worker.c.socket_timeout=3
 `
-	res, err := Import(text, Options{For: Translation, Listen: "127.0.0.1:8009"})
+	res, err := Import(text, Options{For: Translation, Listen: "127.0.0.1:8009", Class: "posts"})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -199,7 +199,7 @@
 		t.Fatal(err)
 	}
 	if c.AJP.Listen != "127.0.0.1:8009" || c.AJP.Secret != "s3cret" || c.AJP.Packet != 16384 ||
-		len(c.Servers) != 3 {
+		len(c.Servers) != 3 || len(c.Classes) != 1 || c.Classes[0].Name != "posts" || c.Classes[0].Effect != "unsafe" {
 		t.Fatalf("%+v", c)
 	}
 	for i, s := range c.Servers {
@@ -214,7 +214,12 @@
 	if want := []int{4, 4, 4, 15, 16}; !slices.Equal(lines, want) {
 		t.Errorf("remarks on lines %v, want %v: %+v", lines, want, res.Remarks)
 	}
-	if _, err := Import(text, Options{For: "x"}); err == nil {
+	for _, to := range []string{Ranges, Translation} {
+		if _, err := Import(text, Options{For: to, Listen: "127.0.0.1:8009"}); err == nil {
+			t.Errorf("%s: a class was guessed", to)
+		}
+	}
+	if _, err := Import(text, Options{For: "x", Class: "posts"}); err == nil {
 		t.Error("made for nothing known")
 	}
 }
--- a/internal/promql/front.go
+++ b/internal/promql/front.go
@@ -72,8 +72,8 @@
 	if c.Listen == "" {
 		return nil, errors.New("listen is missing")
 	}
-	if c.Class == "" {
-		c.Class = "day-report"
+	if c.Class == "" { // which of the settings' it is cannot be guessed
+		return nil, errors.New("class is missing: the one that range queries count as")
 	}
 	if len(c.Servers) == 0 {
 		return nil, errors.New("no [[server]] is given")
--- a/internal/promql/query_test.go
+++ b/internal/promql/query_test.go
@@ -142,22 +142,25 @@
 }
 
 func TestParseConfigRefuses(t *testing.T) {
+	const of = "listen = \"127.0.0.1:1\"\nclass = \"ranges\""
 	const server = "\n[[server]]\nname = \"a\"\naddress = \"127.0.0.1:1\"\n"
 	for s, want := range map[string]string{
-		``:                       "listen",
-		`listen = "127.0.0.1:1"`: "server",
-		`listen = "127.0.0.1:1"` + "\nlisten_on = 3" + server:                           "listen_on",
-		`listen = "127.0.0.1:1"` + server + server:                                      "taken",
-		`listen = "127.0.0.1:1"` + strings.Replace(server, "127.0.0.1:1", "ftp://x", 1): "address",
-		`listen = "127.0.0.1:1"` + server + "cell = -1":                                 "cell",
-		`listen = "127.0.0.1:1"` + server + "share = 0.0":                               "share",
+		``:                                "listen",
+		`listen = "127.0.0.1:1"`:          "class",
+		`listen = "127.0.0.1:1"` + server: "class",
+		of:                                "server",
+		of + "\nlisten_on = 3" + server:   "listen_on",
+		of + server + server:              "taken",
+		of + strings.Replace(server, "127.0.0.1:1", "ftp://x", 1): "address",
+		of + server + "cell = -1":                                 "cell",
+		of + server + "share = 0.0":                               "share",
 	} {
 		if _, err := ParseConfig(s); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%s: %v", s, err)
 		}
 	}
-	c, err := ParseConfig(`listen = "127.0.0.1:1"` + server)
-	if err != nil || c.Class != "day-report" {
+	c, err := ParseConfig(of + server)
+	if err != nil || c.Class != "ranges" {
 		t.Fatalf("%+v %v", c, err)
 	}
 }
