--- a/balance/balance.go
+++ b/balance/balance.go
@@ -11,8 +11,8 @@
 	"slices"
 )
 
-// How long a failed call for the list is waited with, in us: at first, and after many failures. What was missed
-// counts as told after 6 s, however the calls ended; the host's own limits on a call come on top.
+// How long a failed call for the list is waited with, in us: at first, and after many failures. What was
+// missed counts as told after 6 s, however the calls ended; the host's own limits on a call come on top.
 const (
 	AskAgain Micros = 1_000_000
 	AskMost  Micros = 4_000_000
@@ -897,7 +897,8 @@
 	if b.now+Micros(c.LateWorth*float64(c.Aim)) > until {
 		until = min(p.q.deadline, b.now+c.Aim)
 	}
-	b.out = append(b.out, Action{Kind: Send, ID: p.id, Replica: r.ID, After: max(until-b.now, sweep), Before: before})
+	after := max(until-b.now, sweep)
+	b.out = append(b.out, Action{Kind: Send, ID: p.id, Replica: r.ID, After: after, Before: before})
 	return true
 }
 
--- a/balance/cold_test.go
+++ b/balance/cold_test.go
@@ -7,8 +7,8 @@
 )
 
 // coldFleet plays instances that know nothing of one another before one replica that starts, and returns the
-// largest use of its budget: what all send it in any FallSpan over N + 2 x root of N + 2, N being FallMultiple x
-// its present capacity x FallSpan by the told climb, in parts of mean work.
+// largest use of its budget: what all send it in any FallSpan over N + 2 x root of N + 2, N being
+// FallMultiple x its present capacity x FallSpan by the told climb, in parts of mean work.
 type coldFleet struct {
 	instances int
 	anew      bool // all of them start with the replica: none knows what a warm one carries
--- a/cmd/lapislever/main_test.go
+++ b/cmd/lapislever/main_test.go
@@ -64,7 +64,8 @@
 		{args: []string{"fleet", "--door", "127.0.0.1:1", "members"}, fail: true},
 		{args: []string{"import", unsound, "--class", "ranges"}, fail: true},
 		{args: []string{"import", jk}, fail: true}, // of no class
-		{args: []string{"import", jk, "--class", "ranges", "--listen", "127.0.0.1:7"}, out: `listen = "127.0.0.1:7"`},
+		{args: []string{"import", jk, "--class", "ranges", "--listen", "127.0.0.1:7"},
+			out: `listen = "127.0.0.1:7"`},
 	} {
 		var out, errs bytes.Buffer
 		err := run(c.args, &out, &errs, func(string) string { return "" }, nil)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -182,9 +182,9 @@
 	over   bool
 }
 
-// MayBegin tells whether an attempt may begin at this moment, and how long the core will wait for it from there.
-// Whoever writes its first byte asks then: between the module's decision and that moment it may have waited for
-// a connection, its client may have left, and the window for repeats may have closed.
+// MayBegin tells whether an attempt may begin at this moment, and how long the core will wait for it from
+// there. Whoever writes its first byte asks then: between the module's decision and that moment it may have
+// waited for a connection, its client may have left, and the window for repeats may have closed.
 func (a *Attempt) MayBegin(now time.Time) (wait time.Duration, may bool) {
 	wait = a.Until.Sub(now)
 	return wait, wait > 0 && !a.Query.Over() && (a.Before.IsZero() || !now.After(a.Before))
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -201,7 +201,8 @@
 	}
 }
 
-// A client that leaves while its query waits in the queue: nothing of it is sent, and its place is given back.
+// A client that leaves while its query waits in the queue: nothing of it is sent, and its place is given
+// back.
 func TestClientThatLeavesWhileItsQueryIsQueued(t *testing.T) {
 	k := start(t, settings())
 	q := k.query("a", 2)
@@ -217,8 +218,8 @@
 	}
 }
 
-// An attempt bears the moments that its backend has to look at, on the clock that it reads; the end of its query
-// holds it back too.
+// An attempt bears the moments that its backend has to look at, on the clock that it reads; the end of its
+// query holds it back too.
 func TestAttemptTellsWhetherItMayBegin(t *testing.T) {
 	s := settings()
 	s.Classes[0].Effect, s.Classes[0].Window = balance.Keyed, 300*ms
--- a/internal/importer/importer.go
+++ b/internal/importer/importer.go
@@ -104,8 +104,8 @@
 	return &Result{File: b.String(), Remarks: r.remarks}, nil
 }
 
-// The class of an imported front. Nothing in these files tells how long a request may take or whether it may be
-// repeated, so that nothing is, and the times are those of a range query's own start without settings.
+// The class of an imported front. Nothing in these files tells how long a request may take or whether it may
+// be repeated, so that nothing is, and the times are those of a range query's own start without settings.
 const (
 	classAim      = 3.0  // seconds
 	classDeadline = 10.0 // seconds
--- a/internal/importer/importer_test.go
+++ b/internal/importer/importer_test.go
@@ -199,7 +199,8 @@
 		t.Fatal(err)
 	}
 	if c.AJP.Listen != "127.0.0.1:8009" || c.AJP.Secret != "s3cret" || c.AJP.Packet != 16384 ||
-		len(c.Servers) != 3 || len(c.Classes) != 1 || c.Classes[0].Name != "posts" || c.Classes[0].Effect != "unsafe" {
+		len(c.Servers) != 3 || len(c.Classes) != 1 || c.Classes[0].Name != "posts" ||
+		c.Classes[0].Effect != "unsafe" {
 		t.Fatalf("%+v", c)
 	}
 	for i, s := range c.Servers {
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -35,8 +35,8 @@
 	largeRing = 16 << 10  // an emptied ring beyond this gives its memory back
 	outRing   = 16 << 10  // replies are written through it piece by piece
 	aheadMost = 256 << 10 // what a client may send ahead of its replies: the ring's most
-	// A client whose request is out and whose ring is full for so long is read on, and what comes is thrown away:
-	// only a read tells that it leaves, within the 0.1 s in which its request must not go on.
+	// A client whose request is out and whose ring is full for so long is read on, and what comes is thrown
+	// away: only a read tells that it leaves, within the 0.1 s in which its request must not go on.
 	aheadLimit = 30 * time.Millisecond
 	fullPause  = 10 * time.Millisecond // between looks at a full ring
 	poolSize   = 24 << 20              // all clients' rings together, beyond that, unless the budget says less
@@ -51,10 +51,10 @@
 	// After an error the client may be sending still: it gets to read the error for as long as it sends.
 	lingerLimit = 4 * time.Second
 	lingerQuiet = 500 * time.Millisecond
-	// Before this a client's first request may be under way, a request that began come to its end, and a reply be
-	// on its way.
+	// Before this a client's first request may be under way, a request that began come to its end, and a
+	// reply be on its way.
 	graceLimit = 300 * time.Millisecond
-	partLimit  = 200 * time.Millisecond // left at the very end for the last word to a request that is not all there
+	partLimit  = 200 * time.Millisecond // left at the very end for a word to half a request
 )
 
 // ErrFull tells that a ring buffer holds as much as it may.
@@ -539,10 +539,10 @@
 // Wind has every reply end its connection from now on. Idle connections stay: a request may be on its way.
 func (s *Server) Wind() { s.closing.Store(true) }
 
-// Finish ends the server: from now on every reply ends its connection, and so do those that are or come to rest.
-// Each connection is ended by the goroutine that takes its requests, between two of them: it says that nothing
-// more will come, and goes on reading until the client has left, so that no reply on its way is lost and no
-// request is read that is not answered.
+// Finish ends the server: from now on every reply ends its connection, and so do those that are or come to
+// rest. Each connection is ended by the goroutine that takes its requests, between two of them: it says that
+// nothing more will come, and goes on reading until the client has left, so that no reply on its way is lost
+// and no request is read that is not answered.
 func (s *Server) Finish() {
 	s.Wind()
 	s.mu.Lock()
@@ -569,8 +569,8 @@
 // StopListening closes the listener; connections go on.
 func (s *Server) StopListening() { _ = s.l.Close() }
 
-// Wait waits until every connection has ended, or until the time is over. After Finish, a request that is not all
-// there shortly before that is turned away. It looks again and again rather than at a sync.WaitGroup: a
+// Wait waits until every connection has ended, or until the time is over. After Finish, a request that is not
+// all there shortly before that is turned away. It looks again and again rather than at a sync.WaitGroup: a
 // connection may still be accepted just as the listener closes.
 func (s *Server) Wait(most time.Duration) bool {
 	end := time.Now().Add(most)
@@ -953,9 +953,9 @@
 }
 
 // linger tells the client that nothing more will come, and lets it read the reply before the connection goes:
-// closing while bytes of the client lie unread resets the connection, and a reset can overtake the reply. What
-// still comes is thrown away: it is never sent on, and the end tells the client so. One that is still sending gets
-// that long.
+// closing while bytes of the client lie unread resets the connection, and a reset can overtake the reply.
+// What still comes is thrown away: it is never sent on, and the end tells the client so. One that is still
+// sending gets that long.
 func (c *serverConn) linger() {
 	if !c.become(lingering) {
 		return
--- a/internal/net/narrow_test.go
+++ b/internal/net/narrow_test.go
@@ -77,7 +77,8 @@
 		t.Fatal(err)
 	}
 	e := &echo{}
-	e.Server = NewServer(holding{l, look}, NewBudget(10, 0), slog.New(slog.NewTextHandler(io.Discard, nil)), e.handle)
+	e.Server = NewServer(holding{l, look}, NewBudget(10, 0),
+		slog.New(slog.NewTextHandler(io.Discard, nil)), e.handle)
 	go e.Serve()
 	t.Cleanup(func() { e.Finish(); e.StopListening() })
 	return e
@@ -99,8 +100,8 @@
 	return fmt.Sprintf("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 }
 
-// A request has been read off a resting connection, and is not in the ring yet, when the connection is ended: it
-// is never handled, and its client sees the end and no reset.
+// A request has been read off a resting connection, and is not in the ring yet, when the connection is ended:
+// it is never handled, and its client sees the end and no reset.
 func TestRequestReadAsItsConnectionEnds(t *testing.T) {
 	held := make(chan *heldConn, 1)
 	e := hold(t, func(c *heldConn) { c.after = make(chan struct{}); held <- c })
@@ -130,8 +131,8 @@
 	}
 }
 
-// A reply is on its way, and the next request lies unread at the server, when the connection is ended. A close
-// over it would reset the connection, and the reply with it.
+// A reply is on its way, and the next request lies unread at the server, when the connection is ended. A
+// close over it would reset the connection, and the reply with it.
 func TestReplyOnItsWayAsItsConnectionEnds(t *testing.T) {
 	held := make(chan *heldConn, 1)
 	e := hold(t, func(c *heldConn) { c.before = make(chan struct{}); held <- c })
@@ -162,7 +163,8 @@
 	}
 }
 
-// A client sends far more ahead than its replies allow, and leaves: that is seen though nobody wants its bytes.
+// A client sends far more ahead than its replies allow, and leaves: that is seen though nobody wants its
+// bytes.
 func TestClientThatFloodsAndLeavesIsTold(t *testing.T) {
 	e := serve(t, NewBudget(10, 0))
 	c := raw(t, e)
@@ -179,8 +181,8 @@
 	}
 }
 
-// One that floods and stays gets its replies in their order, as far as its requests were held, and then an error
-// and the end.
+// One that floods and stays gets its replies in their order, as far as its requests were held, and then an
+// error and the end.
 func TestClientThatFloodsIsAnsweredInOrder(t *testing.T) {
 	e := serve(t, NewBudget(10, 0))
 	c := raw(t, e)
@@ -210,7 +212,8 @@
 		t.Fatal(err)
 	}
 	first, last := strings.Index(string(all), "done"), strings.Index(string(all), "HTTP/1.1 413 ")
-	if n := strings.Count(string(all), "HTTP/1.1 200 "); first < 0 || last < first || n < 2 || n > 1+aheadMost/50_000 {
+	n := strings.Count(string(all), "HTTP/1.1 200 ")
+	if first < 0 || last < first || n < 2 || n > 1+aheadMost/50_000 {
 		t.Fatalf("%d replies, the first at %d, the error at %d", n, first, last)
 	}
 }
@@ -299,8 +302,8 @@
 	<-ended
 }
 
-// Where no descriptor is left for a server's connection, a client's that is between requests makes way; one that
-// has a request does not.
+// Where no descriptor is left for a server's connection, a client's that is between requests makes way; one
+// that has a request does not.
 func TestIdleClientMakesWayForAServer(t *testing.T) {
 	b := NewBudget(3, 1)
 	e := serve(t, b)
--- a/internal/platform/narrow_test.go
+++ b/internal/platform/narrow_test.go
@@ -17,7 +17,8 @@
 	"lapislever/internal/standin"
 )
 
-// heldConn is a connection whose Write waits, with all bytes or only a part of them gone, until it may return.
+// heldConn is a connection whose Write waits, with all bytes or only a part of them gone, until it may
+// return.
 type heldConn struct {
 	net.Conn
 	writing chan []byte   // hears what is written
@@ -60,8 +61,9 @@
 }
 
 func (n *Nodes) attach(id balance.ReplicaID) *nodeConn {
-	c := &nodeConn{n: n, node: &node{id: id, addr: "127.0.0.1:9"}, out: lnet.NewRing(outLimit), waiting: map[string]*core.Attempt{},
-		given: map[string]time.Time{}, written: map[string]time.Time{}, wake: make(chan struct{}, 1),
+	c := &nodeConn{n: n, node: &node{id: id, addr: "127.0.0.1:9"}, out: lnet.NewRing(outLimit),
+		waiting: map[string]*core.Attempt{}, given: map[string]time.Time{},
+		written: map[string]time.Time{}, wake: make(chan struct{}, 1),
 		used: time.Now(), opened: time.Now()}
 	n.nodes[id] = c.node
 	c.node.conns = []*nodeConn{c}
@@ -79,9 +81,9 @@
 	}
 }
 
-// The node resets the connection after the frame's last byte has gone and before the writer has booked that: the
-// part may have run. Where the write itself fails its last byte is not out, and it never ran. Either way what
-// is queued behind it never ran.
+// The node resets the connection after the frame's last byte has gone and before the writer has booked that:
+// the part may have run. Where the write itself fails its last byte is not out, and it never ran. Either way
+// what is queued behind it never ran.
 func TestResetBetweenTheWriteAndItsBooking(t *testing.T) {
 	for _, x := range []struct {
 		write error
@@ -107,8 +109,8 @@
 	}
 }
 
-// While an attempt waits for its connection its client leaves, its query gets an answer, the window for repeats
-// closes, or its time ends: it does not begin. The module hears that it never ran.
+// While an attempt waits for its connection its client leaves, its query gets an answer, the window for
+// repeats closes, or its time ends: it does not begin. The module hears that it never ran.
 func TestWhatMayNotBeginAnyMoreIsNotWritten(t *testing.T) {
 	n, id, told := wired(t)
 	c, h := n.attach(id), newHeldConn()
@@ -144,7 +146,8 @@
 	c.end(nil)
 }
 
-// The time that a call tells is what is left when it begins, and parts that were given up meanwhile are not in it.
+// The time that a call tells is what is left when it begins, and parts that were given up meanwhile are not
+// in it.
 func TestCallIsWordedWhenItBegins(t *testing.T) {
 	n, id, _ := wired(t)
 	c, h := n.attach(id), newHeldConn()
@@ -161,7 +164,8 @@
 	go c.carry(h)
 	var wait [2]int
 	words := string(<-h.writing)
-	if _, err := fmt.Sscanf(words[5:], "q1.0 0 d=%d 0\nq3.0 0 d=%d,k=key 4\ntext", &wait[0], &wait[1]); err != nil {
+	form := "q1.0 0 d=%d 0\nq3.0 0 d=%d,k=key 4\ntext"
+	if _, err := fmt.Sscanf(words[5:], form, &wait[0], &wait[1]); err != nil {
 		t.Fatalf("%q: %v", words, err)
 	}
 	if wait[0] > 2000 || wait[1] > 2000 || wait[0] < 1 {
@@ -197,8 +201,8 @@
 	c.end(nil)
 }
 
-// A connection that is closed while idle takes no call any more: what comes in that moment goes to another one,
-// and if that has come too far it has never run, of which the node is not to blame.
+// A connection that is closed while idle takes no call any more: what comes in that moment goes to another
+// one, and if that has come too far it has never run, of which the node is not to blame.
 func TestCallAtTheCloseOfAnIdleConnection(t *testing.T) {
 	n, id, told := wired(t)
 	c := n.attach(id)
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -133,8 +133,8 @@
 	over bool
 }
 
-// frame is what the writer has to write. A call is worded when it begins, as the time that it tells is what is
-// left by then; what is not begun can still be taken back, part by part.
+// frame is what the writer has to write. A call is worded when it begins, as the time that it tells is what
+// is left by then; what is not begun can still be taken back, part by part.
 type frame struct {
 	call  []*core.Attempt // nil for a cancel or a probe
 	text  []byte          // of a cancel or a probe
@@ -143,8 +143,8 @@
 	begun bool            // the writer has it: only that knows whether its last byte goes out
 }
 
-// words are the bytes of a call at this moment, and the parts that it carries: those that are still waited for
-// and may begin.
+// words are the bytes of a call at this moment, and the parts that it carries: those that are still waited
+// for and may begin.
 func (c *nodeConn) words(b []byte, call []*core.Attempt, now time.Time) ([]byte, []*core.Attempt) {
 	var carried []*core.Attempt
 	b = append(b[:0], 0, 0, 0, 0, '1')
@@ -512,8 +512,8 @@
 	c.carry(conn)
 }
 
-// carry writes frame by frame, each within its limit, so that a node that does not read holds up nothing but its
-// own connection.
+// carry writes frame by frame, each within its limit, so that a node that does not read holds up nothing but
+// its own connection.
 func (c *nodeConn) carry(conn net.Conn) {
 	limit := time.Duration(idleShare * float64(c.n.conf.Load().ConnIdle))
 	idle := time.NewTimer(limit)
@@ -584,8 +584,8 @@
 	}
 }
 
-// wrote books that the frame which the writer has begun is out, or that it never will be, and tells whether the
-// connection has ended. Only the writer knows: while its last byte may just be going out nobody else says
+// wrote books that the frame which the writer has begun is out, or that it never will be, and tells whether
+// the connection has ended. Only the writer knows: while its last byte may just be going out nobody else says
 // whether the frame's parts may have run.
 func (c *nodeConn) wrote(err error) bool {
 	c.mu.Lock()
@@ -620,8 +620,8 @@
 	return false
 }
 
-// broken is how an attempt ended on a connection that has, by whether its frame was written whole. Closed while
-// idle, a connection says nothing of its node.
+// broken is how an attempt ended on a connection that has, by whether its frame was written whole. Closed
+// while idle, a connection says nothing of its node.
 func (c *nodeConn) broken(written bool) balance.Outcome {
 	switch {
 	case !written && c.why == nil:
--- a/internal/platform/signals.go
+++ b/internal/platform/signals.go
@@ -17,8 +17,8 @@
 	return out
 }
 
-// order passes signals on, an end before a reload. Each kind waits in a place of its own, so that however many
-// reloads come while one is being done, they are one more, and take no end's place.
+// order passes signals on, an end before a reload. Each kind waits in a place of its own, so that however
+// many reloads come while one is being done, they are one more, and take no end's place.
 func order(end, reload <-chan os.Signal, out chan<- os.Signal) {
 	for {
 		select {
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -1,11 +1,11 @@
 package platform
 
-// The watch on discovery. This file owns the calls for the list and when they are made; it must never decide what
-// a list means.
+// The watch on discovery. This file owns the calls for the list and when they are made; it must never decide
+// what a list means.
 //
-// A change counts as told 6 s (toldAfter) after discovery had it and could be reached, whatever became of a call;
-// where the list is pushed what the agent has counts at once, but for what a watch that has fallen silent misses,
-// which counts 6 s after that. So, with the times below:
+// A change counts as told 6 s (toldAfter) after discovery had it and could be reached, whatever became of a
+// call; where the list is pushed what the agent has counts at once, but for what a watch that has fallen
+// silent misses, which counts 6 s after that. So, with the times below:
 //
 //	silence + watchRetry + limit + watchRetry + limit <= toldAfter     pushed: 1.85 s, two calls at worst
 //	silence + balance.AskAgain + patientLimit <= toldAfter             asked for: 5.7 s
--- a/internal/platform/watch_test.go
+++ b/internal/platform/watch_test.go
@@ -1,7 +1,7 @@
 package platform
 
-// The watch in its narrow moments. Discovery is a script: it has each call in its hands, and says when and how
-// much of an answer goes out.
+// The watch in its narrow moments. Discovery is a script: it has each call in its hands, and says when and
+// how much of an answer goes out.
 
 import (
 	"bufio"
@@ -19,7 +19,8 @@
 	"lapislever/internal/standin"
 )
 
-// scripted is a stand-in for discovery that hands each call to a function, with the connection that it came on.
+// scripted is a stand-in for discovery that hands each call to a function, with the connection that it came
+// on.
 type scripted struct {
 	addr string
 	mu   sync.Mutex
@@ -102,14 +103,16 @@
 	}
 }
 
-// However a call ends that tells nothing, the whole list is asked for anew, and what it does not name is gone,
-// also where it still answers. What came before a reset, or of an answer that never ends, is no answer.
+// However a call ends that tells nothing, the whole list is asked for anew, and what it does not name is
+// gone, also where it still answers. What came before a reset, or of an answer that never ends, is no answer.
 func TestWatchThatEndsWithoutTelling(t *testing.T) {
 	for name, end := range map[string]func(c *net.TCPConn, wrong string){
-		"silent":    func(*net.TCPConn, string) {},
-		"closed":    func(c *net.TCPConn, _ string) { _ = c.Close() },
-		"reset":     func(c *net.TCPConn, _ string) { reset(c) },
-		"500":       func(c *net.TCPConn, _ string) { fmt.Fprint(c, "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n") },
+		"silent": func(*net.TCPConn, string) {},
+		"closed": func(c *net.TCPConn, _ string) { _ = c.Close() },
+		"reset":  func(c *net.TCPConn, _ string) { reset(c) },
+		"500": func(c *net.TCPConn, _ string) {
+			fmt.Fprint(c, "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n")
+		},
 		"no JSON":   func(c *net.TCPConn, _ string) { tell(c, "{") },
 		"half head": func(c *net.TCPConn, _ string) { fmt.Fprint(c, "HTTP/1.1 200 OK\r\nConte"); _ = c.Close() },
 		"without a length, and reset": func(c *net.TCPConn, wrong string) {
@@ -161,8 +164,8 @@
 	}
 }
 
-// Discovery is silent and then answers again: calls were made all the while, so that the first one it can answer
-// tells of what has changed.
+// Discovery is silent and then answers again: calls were made all the while, so that the first one it can
+// answer tells of what has changed.
 func TestWatchGoesOnAskingWhileDiscoveryIsDown(t *testing.T) {
 	a, b := standin.NewNode(t, ok), standin.NewNode(t, ok)
 	both := []host{hostAt("a", a.Addr, 0), hostAt("b", b.Addr, 0)}
