--- a/balance/balance.go
+++ b/balance/balance.go
@@ -69,7 +69,7 @@
 	hopeShare              = 1.0        // of the time to the aim that a part may be expected to take
 	vainParts              = 60.0       // parts over which the share of those sent in vain is taken
 	vainCut, vainMost      = 3.0, 0.5   // times that share comes off the admitted one, and at the most
-	proveAfter             = 3_000_000  // us of refusals alone, after which one query is let in to see (page: 4 s)
+	proveAfter             = 3_000_000  // us of refusals alone; then one query is let in to see (page: 4 s)
 	admitQuantile          = 0.8        // of the needed parts: of few the slowest, of many not the odd one
 	overPart, farOver      = 1.2, 1.8   // times its part of the quotas that a tenant has of the traffic here
 	quotaLeast             = 8.0        // queries of a tenant that tell of its part
--- a/internal/platform/watch_test.go
+++ b/internal/platform/watch_test.go
@@ -257,7 +257,8 @@
 			tell(c, list(2, false, drains))
 		}
 	})
-	k := run(t, config(t, &discovery{addr: d.addr}, `"membershipMode":"automatic"`, `"membershipMode":"subscribe"`))
+	k := run(t, config(t, &discovery{addr: d.addr}, `"membershipMode":"automatic"`,
+		`"membershipMode":"subscribe"`))
 	standin.Until(t, "the next call", func() bool { return d.count() >= 4 })
 	d.mu.Lock()
 	seen := append([]string(nil), d.seen...)
