Fill every descriptor with idle clients while discovery is down, in a test of the whole path

An answer that is owed is given, discovery is asked all the while, and twenty new nodes get their connections.

--- a/internal/platform/narrow_test.go
+++ b/internal/platform/narrow_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -218,3 +219,61 @@
 		t.Fatalf("%+v", o)
 	}
 }
+
+// Idle clients and half requests fill every descriptor that clients may have, while discovery is down. An answer
+// that is owed is given, discovery is asked again, and nodes that it then tells of get connections, more than
+// were kept for them: what is idle makes way.
+func TestCrowdLeavesDescriptorsForOthers(t *testing.T) {
+	free := make(chan struct{})
+	slow := standin.NewNode(t, func(p standin.Part) (string, string) { <-free; return ok(p) })
+	slow.Wide.Store(true)
+	var down atomic.Bool
+	hosts := []host{hostAt("slow", slow.Addr, 0)}
+	d := newScripted(t, func(n int, query string, c *net.TCPConn) {
+		if !down.Load() && query == "" {
+			tell(c, list(n, true, hosts...))
+		}
+	})
+	conf := config(t, &discovery{addr: d.addr})
+	conf.Limits.Sockets = 1 // the least budget there is: 32, of which 8 are kept for nodes
+	k := run(t, conf)
+	owed := make(chan int, 1)
+	go func() { owed <- post(t, k, "rate-check", 0).Status }()
+	standin.Until(t, "the part", func() bool { return len(slow.Parts()) > 0 })
+	down.Store(true)
+	for i := range 60 {
+		c, err := net.Dial("tcp", k.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		if i%2 == 0 {
+			fmt.Fprint(c, "POST /rate-check HTTP/1.1\r\nHo")
+		} else {
+			fmt.Fprint(c, "GET /up HTTP/1.1\r\nHost: x\r\n\r\n")
+		}
+	}
+	close(free) // within its aim
+	if got := <-owed; got != 200 {
+		t.Fatalf("the answer that was owed came as %d", got)
+	}
+	asked := d.count()
+	standin.Until(t, "calls for the list", func() bool { return d.count() > asked+2 })
+	var nodes []*standin.Node
+	hosts = nil
+	for i := range 20 {
+		n := standin.NewNode(t, ok)
+		nodes = append(nodes, n)
+		hosts = append(hosts, hostAt(fmt.Sprint("n", i), n.Addr, 0))
+	}
+	down.Store(false)
+	standin.Until(t, "the list", func() bool { return k.core.Counts().Listed.Load() == 20 })
+	standin.Until(t, "connections to more nodes than were kept for", func() bool {
+		post(t, k, "rate-check", 0)
+		opened := 0
+		for _, n := range nodes {
+			opened += min(1, n.Opened())
+		}
+		return opened > 12
+	})
+}
