Give an AJP connection's place back when it makes way, and end it by the state that its reader looks at

A connection that had made way closed its socket, and its reader returned without a word (ajp/server.go, read): the goroutine that serves it kept its place in the budget for the idle limit of ten minutes, so that making way freed nothing. The end of a server closed a connection whose packet had just been read and was then handled (Finish). Both go by yield now, and the reader tells the end.

--- a/internal/ajp/ajp_test.go
+++ b/internal/ajp/ajp_test.go
@@ -274,3 +274,39 @@
 		t.Errorf("%d requests", n)
 	}
 }
+
+// A connection that carries nothing makes way, or ends with the server: its place is free at once, and not when it
+// would have been idle for too long.
+func TestConnectionThatMakesWayGivesItsPlaceBack(t *testing.T) {
+	for name, end := range map[string]func(*Server){
+		"makes way": func(s *Server) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			for c := range s.conns {
+				if !c.yield() {
+					t.Error("it carries nothing, and does not yield")
+				}
+			}
+		},
+		"ends": (*Server).Finish,
+	} {
+		budget := lnet.NewBudget(10, 0)
+		x := serve(t, Options{}, budget)
+		a := standin.DialAJP(t, x.s.Addr())
+		if r, err := a.Call("/echo", nil, "x"); err != nil || r.Status != 200 {
+			t.Fatalf("%+v, %v", r, err)
+		}
+		standin.Until(t, "rest", func() bool {
+			x.s.mu.Lock()
+			defer x.s.mu.Unlock()
+			for c := range x.s.conns {
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				return !c.begun && !c.busy.Load()
+			}
+			return false
+		})
+		end(x.s)
+		standin.Until(t, name+": the place", func() bool { return x.s.Open() == 0 && budget.Used() == 0 })
+	}
+}
--- a/internal/ajp/server.go
+++ b/internal/ajp/server.go
@@ -118,15 +118,14 @@
 // LastRequest is when a request last came.
 func (s *Server) LastRequest() time.Time { return time.Unix(0, s.last.Load()) }
 
-// Finish winds, and closes the connections that carry nothing.
+// Finish winds, and closes the connections that carry nothing. Of one that is closed no packet is handled any
+// more, also if it had just been read.
 func (s *Server) Finish() {
 	s.Wind()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if !c.busy.Load() {
-			_ = c.c.Close()
-		}
+		c.yield()
 	}
 }
 
@@ -213,9 +212,8 @@
 		n, err := io.ReadFull(c.c, head[:])
 		p := packet{err: err, begun: n > 0}
 		if !c.begin(n > 0) {
-			return
-		}
-		if err == nil {
+			p.err = net.ErrClosed // it has made way: serve gives its place back
+		} else if err == nil {
 			var size int
 			if size, p.err = Size(head[:], c.s.o.Size); p.err == nil {
 				p.payload = make([]byte, size)
