--- a/balance/balance.go
+++ b/balance/balance.go
@@ -80,8 +80,9 @@
 	coldBoost   = 1.0        // share of what the told multiple leaves above 1 that a cold replica may get
 	coldBurst   = 0.6        // share of what the told multiple leaves above the rate that may be saved up
 	gaugeSpan   = 2_000_000  // us over which served parts are counted, at the least
-	gaugeParts  = 64.0       // of fewer the count goes on, less what is chance, as the largest of many
-	gaugeMost   = 8          // small counts is far over what is carried; so many spans at the most
+	gaugeParts  = 64.0       // of fewer, among many peers, the count goes on, less what is chance:
+	gaugeMost   = 8.0        // the largest of small counts is over what is carried; spans at most
+	gaugeCrowd  = 2.0        // times a few peers: from there on
 	carriedLife = 60_000_000 // us after which half of what was carried is forgotten
 
 	// Idle connections.
@@ -928,13 +929,13 @@
 	b.carried *= math.Exp2(-float64(gaugeSpan) / carriedLife)
 	b.usualSize = max(size, b.usualSize*math.Exp2(-float64(gaugeSpan)/carriedLife))
 	n := b.served
-	if n < gaugeParts {
-		n -= math.Sqrt(n) // by which a count differs from its mean by chance
+	if n < gaugeParts { // by its root a count differs by chance, which adds up over many peers
+		n -= max(0, 1-gaugeCrowd/b.crowd) * math.Sqrt(n)
 	}
 	if b.counted++; b.usualSize > 0 {
 		b.carried = max(b.carried, n/float64(b.counted*gaugeSpan)/b.usualSize)
 	}
-	if b.served >= gaugeParts || b.counted >= gaugeMost {
+	if b.served >= gaugeParts || float64(b.counted) >= min(gaugeMost, b.crowd/gaugeCrowd) {
 		b.served, b.counted = 0, 0
 	}
 	b.gaugeAt = b.now + gaugeSpan
