--- a/internal/ajp/ajp_test.go
+++ b/internal/ajp/ajp_test.go
@@ -275,8 +275,8 @@
 	}
 }
 
-// A connection that carries nothing makes way, or ends with the server: its place is free at once, and not when it
-// would have been idle for too long.
+// A connection that carries nothing makes way, or ends with the server: its place is free at once, and not
+// when it would have been idle for too long.
 func TestConnectionThatMakesWayGivesItsPlaceBack(t *testing.T) {
 	for name, end := range map[string]func(*Server){
 		"makes way": func(s *Server) {
--- a/internal/platform/narrow_test.go
+++ b/internal/platform/narrow_test.go
@@ -220,9 +220,9 @@
 	}
 }
 
-// Idle clients and half requests fill every descriptor that clients may have, while discovery is down. An answer
-// that is owed is given, discovery is asked again, and nodes that it then tells of get connections, more than
-// were kept for them: what is idle makes way.
+// Idle clients and half requests fill every descriptor that clients may have, while discovery is down. An
+// answer that is owed is given, discovery is asked again, and nodes that it then tells of get connections,
+// more than were kept for them: what is idle makes way.
 func TestCrowdLeavesDescriptorsForOthers(t *testing.T) {
 	free := make(chan struct{})
 	slow := standin.NewNode(t, func(p standin.Part) (string, string) { <-free; return ok(p) })
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -7,7 +7,7 @@
 // call; where the list is pushed what the agent has counts at once, but for what a watch that has fallen
 // silent misses, which counts 6 s after that. So, with the times below:
 //
-//	silence + watchRetry + limit + watchRetry + limit <= toldAfter     pushed: 1.85 s, two calls at worst
+//	silence + limit <= toldAfter                                       pushed: 1.2 s; 0.1 s after an outage
 //	silence + limit <= toldAfter                                       asked for: 5.5 s
 //	balance.AskMost + limit <= toldAfter                               asked for, after many failures: 5.5 s
 
@@ -17,6 +17,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,9 +31,10 @@
 	watchRetry = 50 * time.Millisecond
 	dialMost   = time.Second
 	maxList    = 4 << 20 // bytes
-	// One in so many calls in a row without an answer is given this long.
-	patientEvery = 4
-	patientLimit = time.Second
+	// Where the list is pushed a call that is overdue is not given up: another one is made beside it, so that an
+	// agent that comes back is heard at once, and one that is slow is heard all the same.
+	patientLimit = time.Second // an overdue call's
+	mostCalls    = 12          // that are out at a time; the oldest goes
 )
 
 // watcher follows discovery.
@@ -78,29 +80,21 @@
 // terms are the times of one kind of watch.
 type terms struct {
 	wait  time.Duration // that a call asks discovery to wait for news
-	limit time.Duration // for an answer that is due, the dialling included
+	limit time.Duration // for an answer that is due, the dialling included; then it is overdue
+	give  time.Duration // and so long after it was due it is given up
 }
 
 // The terms where the agent on this machine is sent the list, and where each call is work for discovery,
 // which takes up to a second: what the answer to a call that was given up would have told counts as told all
 // the same.
 var (
-	pushed = terms{wait: time.Second, limit: 250 * time.Millisecond}
-	asking = terms{wait: 2500 * time.Millisecond, limit: 1500 * time.Millisecond}
+	pushed = terms{wait: time.Second, limit: 100 * time.Millisecond, give: patientLimit}
+	asking = terms{wait: 2500 * time.Millisecond, limit: 1500 * time.Millisecond, give: 1500 * time.Millisecond}
 )
 
 // silence is how long a watch that has fallen silent passes for a sound one.
 func (t terms) silence() time.Duration { return t.wait + t.limit }
 
-// fetchLimit is how long a call may take that is to be answered at once, after so many that were not. Now and
-// then one is given longer, or an agent that is slow would never be heard.
-func (t terms) fetchLimit(failed int) time.Duration {
-	if failed%patientEvery == patientEvery-1 {
-		return max(t.limit, patientLimit)
-	}
-	return t.limit
-}
-
 // run keeps the list up to date. Each next call follows the last answer at once, so that the watch goes on.
 // A call runs beside this loop: one that waits, or still dials, must not hold up a move to another address.
 func (w *watcher) run(watching bool) {
@@ -116,36 +110,41 @@
 	whole, wanted := watching || w.seq == 0 || w.beside, false
 	failed := 0         // calls in a row
 	renewed := false    // after silence a call that is asked for is made anew at once, and only then given up
-	var begun time.Time // of the call that is out
+	var begun time.Time // of the last call
 	var c *lnet.Client  // at rest between calls
-	var out *watchCall
-	var again <-chan time.Time // after a failure
+	var out []*watchCall
+	results := make(chan watchResult, 2*mostCalls)
+	var again, overdue <-chan time.Time // after a failure; of the last call
 	abandon := func() {
-		if out != nil {
-			out.cancel()
-			out = nil
+		for _, k := range out {
+			k.cancel()
 		}
+		out, overdue = nil, nil
 		if c != nil {
 			c.Close()
 			c = nil
 		}
 	}
-	for {
-		if out == nil && again == nil && (watching || wanted) {
-			wanted = false
-			target, limit := "/discovery/hosts", t.fetchLimit(failed)
+	for due := false; ; {
+		if (out == nil || due) && again == nil && (watching || wanted) {
+			wanted, due = false, false
+			target, wait := "/discovery/hosts", time.Duration(0)
 			if !whole {
-				target = fmt.Sprintf("/discovery/hosts?index=%d&wait=%d", w.seq, t.wait.Milliseconds())
-				limit = t.silence()
+				wait = t.wait
+				target = fmt.Sprintf("/discovery/hosts?index=%d&wait=%d", w.seq, wait.Milliseconds())
+			}
+			if len(out) == mostCalls {
+				out[0].cancel()
+				out = out[1:]
 			}
 			begun = time.Now()
-			out = &watchCall{c: c, done: make(chan watchResult, 1)}
+			k := &watchCall{c: c}
 			c = nil
-			go out.run(addr, target, limit)
-		}
-		var done <-chan watchResult
-		if out != nil {
-			done = out.done
+			out = append(out, k)
+			go k.run(addr, target, wait+t.give, results)
+			if t.limit < t.give {
+				overdue = time.After(wait + t.limit)
+			}
 		}
 		select {
 		case watching = <-w.on:
@@ -157,6 +156,12 @@
 			whole, wanted, again = true, true, nil
 		case <-again:
 			again = nil
+		case <-overdue:
+			overdue = nil
+			whole, due = true, true
+			if failed++; failed == 1 {
+				w.log.Warn("discovery did not answer in time", "address", addr)
+			}
 		case addr = <-w.move:
 			// What a call to the old address would still bring is in the new one's whole list.
 			abandon()
@@ -164,13 +169,24 @@
 		case <-w.stop:
 			abandon()
 			return
-		case r := <-done:
-			c, out = r.c, nil
+		case r := <-results:
+			i := slices.Index(out, r.of)
+			if i < 0 { // it was abandoned
+				if r.c != nil {
+					r.c.Close()
+				}
+				continue
+			}
+			if out = slices.Delete(out, i, i+1); len(out) == 0 {
+				out, overdue = nil, nil
+			}
 			if r.err == nil {
+				abandon()
+				c = r.c
 				if failed > 0 {
 					w.log.Info("discovery answers again", "address", addr, "failed", failed)
 				}
-				failed, whole, renewed = 0, false, false
+				failed, whole, renewed, due = 0, false, false, false
 				if told := w.take(r.list); !told && time.Since(begun) < watchRetry {
 					again = time.After(watchRetry) // it does not wait for news
 				}
@@ -190,7 +206,9 @@
 				continue
 			}
 			whole = true // what the watch has missed costs nothing
-			again = time.After(watchRetry)
+			if out == nil {
+				due, again = false, time.After(watchRetry)
+			}
 		}
 	}
 }
@@ -219,7 +237,6 @@
 
 // watchCall is one call to discovery.
 type watchCall struct {
-	done chan watchResult
 	mu   sync.Mutex // guards c, over
 	c    *lnet.Client
 	over bool
@@ -227,6 +244,7 @@
 
 // watchResult is how a call ended; the connection, if it can carry the next one, comes along.
 type watchResult struct {
+	of   *watchCall
 	list *hostList
 	c    *lnet.Client
 	err  error
@@ -242,7 +260,7 @@
 	}
 }
 
-func (k *watchCall) run(addr, target string, limit time.Duration) {
+func (k *watchCall) run(addr, target string, limit time.Duration, results chan<- watchResult) {
 	list, err := k.call(addr, target, limit)
 	k.mu.Lock()
 	c := k.c
@@ -253,7 +271,7 @@
 		c = nil
 	}
 	k.mu.Unlock()
-	k.done <- watchResult{list: list, c: c, err: err}
+	results <- watchResult{of: k, list: list, c: c, err: err}
 }
 
 func (k *watchCall) call(addr, target string, limit time.Duration) (*hostList, error) {
--- a/internal/platform/watch_test.go
+++ b/internal/platform/watch_test.go
@@ -87,8 +87,7 @@
 func TestWatchHearsBeforeItCountsAsTold(t *testing.T) {
 	us := func(m balance.Micros) time.Duration { return time.Duration(m) * time.Microsecond }
 	for name, worst := range map[string]time.Duration{
-		"pushed, fallen silent":    pushed.silence() + 2*(watchRetry+pushed.limit),
-		"pushed, after many calls": watchRetry + patientLimit + watchRetry + pushed.limit,
+		"pushed, fallen silent":    pushed.silence() + pushed.limit,
 		"asked for, fallen silent": asking.silence() + asking.limit,
 		"asked for, after many":    us(balance.AskMost) + asking.limit,
 	} {
@@ -96,11 +95,6 @@
 			t.Errorf("%s: heard after %v, told after %v", name, worst, toldAfter)
 		}
 	}
-	for failed := range 12 {
-		if limit := pushed.fetchLimit(failed); limit > pushed.limit && failed%patientEvery != patientEvery-1 {
-			t.Errorf("call %d may take %v", failed, limit)
-		}
-	}
 }
 
 // However a call ends that tells nothing, the whole list is asked for anew, and what it does not name is
@@ -183,7 +177,7 @@
 	down = true
 	mu.Unlock()
 	asked := d.count()
-	standin.Until(t, "calls to a silent discovery", func() bool { return d.count() > asked+2*patientEvery })
+	standin.Until(t, "calls to a silent discovery", func() bool { return d.count() > asked+8 })
 	mu.Lock()
 	both[0].Health = "terminating"
 	asked, down = d.count(), false
@@ -278,3 +272,23 @@
 		t.Fatalf("%d parts went to a node that drains", n)
 	}
 }
+
+// A call that is overdue is not given up for the next one: whichever is answered first counts. An agent that
+// comes back answers new calls only, and one that is slow the old ones.
+func TestOverdueCallStaysOutBesideTheNext(t *testing.T) {
+	a, b := standin.NewNode(t, ok), standin.NewNode(t, ok)
+	both := []host{hostAt("a", a.Addr, 0), hostAt("b", b.Addr, 0)}
+	overdue := make(chan *net.TCPConn, 1)
+	d := newScripted(t, func(n int, _ string, c *net.TCPConn) {
+		switch n {
+		case 1:
+			tell(c, list(1, true, both...))
+		case 3: // the first after a silent watch
+			overdue <- c
+		case 4: // made while that one waits, and never answered
+			tell(<-overdue, list(2, true, both[1:]...))
+		}
+	})
+	k := run(t, config(t, &discovery{addr: d.addr}))
+	standin.Until(t, "the overdue answer", func() bool { return k.core.Counts().Listed.Load() == 1 })
+}
