Name the class in the rig's range-query file, which is an error without it now

TestEveryFrontTakesPart failed on it ('class is missing: the one that range queries count as'): a file of the test's own that had relied on the guess. It asserts what it did before.

--- a/internal/rig/process_test.go
+++ b/internal/rig/process_test.go
@@ -153,6 +153,7 @@
 	defer r.closers[0]()
 	fronts := []string{"promql", "translate", "promql"}
 	files := map[string]string{"promql": `listen = "%s"
+class = "ranges"
 [[server]]
 name = "a"
 address = "127.0.0.1:9"
