--- a/internal/platform/watch_test.go
+++ b/internal/platform/watch_test.go
@@ -1,7 +1,7 @@
 package platform
 
-// The watch in its narrow moments. Discovery is a script: it has each call in its hands, and says when and how
-// much of an answer goes out.
+// The watch in its narrow moments. Discovery is a script: it has each call in its hands, and says when and
+// how much of an answer goes out.
 
 import (
 	"bufio"
@@ -19,7 +19,8 @@
 	"lapislever/internal/standin"
 )
 
-// scripted is a stand-in for discovery that hands each call to a function, with the connection that it came on.
+// scripted is a stand-in for discovery that hands each call to a function, with the connection that it came
+// on.
 type scripted struct {
 	addr string
 	mu   sync.Mutex
@@ -88,8 +89,8 @@
 	for name, worst := range map[string]time.Duration{
 		"pushed, fallen silent":    pushed.silence() + 2*(watchRetry+pushed.limit),
 		"pushed, after many calls": watchRetry + patientLimit + watchRetry + pushed.limit,
-		"asked for, fallen silent": asking.silence() + us(balance.AskAgain) + patientLimit,
-		"asked for, after many":    us(balance.AskMost) + patientLimit,
+		"asked for, fallen silent": asking.silence() + asking.limit,
+		"asked for, after many":    us(balance.AskMost) + asking.limit,
 	} {
 		if worst > toldAfter {
 			t.Errorf("%s: heard after %v, told after %v", name, worst, toldAfter)
@@ -102,14 +103,16 @@
 	}
 }
 
-// However a call ends that tells nothing, the whole list is asked for anew, and what it does not name is gone,
-// also where it still answers. What came before a reset, or of an answer that never ends, is no answer.
+// However a call ends that tells nothing, the whole list is asked for anew, and what it does not name is
+// gone, also where it still answers. What came before a reset, or of an answer that never ends, is no answer.
 func TestWatchThatEndsWithoutTelling(t *testing.T) {
 	for name, end := range map[string]func(c *net.TCPConn, wrong string){
-		"silent":    func(*net.TCPConn, string) {},
-		"closed":    func(c *net.TCPConn, _ string) { _ = c.Close() },
-		"reset":     func(c *net.TCPConn, _ string) { reset(c) },
-		"500":       func(c *net.TCPConn, _ string) { fmt.Fprint(c, "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n") },
+		"silent": func(*net.TCPConn, string) {},
+		"closed": func(c *net.TCPConn, _ string) { _ = c.Close() },
+		"reset":  func(c *net.TCPConn, _ string) { reset(c) },
+		"500": func(c *net.TCPConn, _ string) {
+			fmt.Fprint(c, "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n")
+		},
 		"no JSON":   func(c *net.TCPConn, _ string) { tell(c, "{") },
 		"half head": func(c *net.TCPConn, _ string) { fmt.Fprint(c, "HTTP/1.1 200 OK\r\nConte"); _ = c.Close() },
 		"without a length, and reset": func(c *net.TCPConn, wrong string) {
@@ -161,8 +164,8 @@
 	}
 }
 
-// Discovery is silent and then answers again: calls were made all the while, so that the first one it can answer
-// tells of what has changed.
+// Discovery is silent and then answers again: calls were made all the while, so that the first one it can
+// answer tells of what has changed.
 func TestWatchGoesOnAskingWhileDiscoveryIsDown(t *testing.T) {
 	a, b := standin.NewNode(t, ok), standin.NewNode(t, ok)
 	both := []host{hostAt("a", a.Addr, 0), hostAt("b", b.Addr, 0)}
@@ -234,3 +237,43 @@
 		t.Fatalf("%d parts went to a node that drains", n)
 	}
 }
+
+// Where the list is asked for, a call that has fallen silent is made anew at once, by the version that is
+// known; a refusal is the module's to wait with. Either way the change is heard.
+func TestAskedWatchIsRenewedAfterSilence(t *testing.T) {
+	a, b := standin.NewNode(t, ok), standin.NewNode(t, ok)
+	both := []host{hostAt("a", a.Addr, 0), hostAt("b", b.Addr, 0)}
+	drains := both[0]
+	drains.Health = "terminating"
+	at := make(chan time.Time, 2)
+	d := newScripted(t, func(n int, _ string, c *net.TCPConn) {
+		switch n {
+		case 1:
+			tell(c, list(1, true, both...))
+		case 2: // silent
+			at <- time.Now()
+		case 3:
+			at <- time.Now()
+			tell(c, list(2, false, drains))
+		}
+	})
+	k := run(t, config(t, &discovery{addr: d.addr}, `"membershipMode":"automatic"`, `"membershipMode":"subscribe"`))
+	standin.Until(t, "the next call", func() bool { return d.count() >= 4 })
+	d.mu.Lock()
+	seen := append([]string(nil), d.seen...)
+	d.mu.Unlock()
+	if seen[2] != "index=1&wait=2500" || seen[3] != "index=2&wait=2500" {
+		t.Fatalf("%q", seen)
+	}
+	silent, anew := <-at, <-at
+	if gap := anew.Sub(silent); gap < asking.silence()-50*time.Millisecond {
+		t.Fatalf("the call was given up after %v", gap)
+	}
+	before := len(a.Parts())
+	for range 20 {
+		post(t, k, "rate-check", 0)
+	}
+	if n := len(a.Parts()) - before; n != 0 {
+		t.Fatalf("%d parts went to a node that drains", n)
+	}
+}
--- a/internal/promql/front.go
+++ b/internal/promql/front.go
@@ -72,8 +72,8 @@
 	if c.Listen == "" {
 		return nil, errors.New("listen is missing")
 	}
-	if c.Class == "" {
-		c.Class = "day-report"
+	if c.Class == "" { // which of the settings' it is cannot be guessed
+		return nil, errors.New("class is missing: the one that range queries count as")
 	}
 	if len(c.Servers) == 0 {
 		return nil, errors.New("no [[server]] is given")
@@ -732,7 +732,7 @@
 		return balance.NoConnection, core.Value{}
 	}
 	fl.mu.Lock()
-	if fl.cancelled {
+	if _, may := fl.a.MayBegin(time.Now()); fl.cancelled || !may {
 		fl.mu.Unlock()
 		f.put(fl.s, c)
 		return balance.NotSent, core.Value{}
