Replace the rig's files whole: two members that started side by side read a key file without keys

Cause: all members read one key file, and each writes it anew as it starts (Member.write). os.WriteFile cuts the file to nothing first and writes then, so a process that reads between the two sees an empty file. The same goes for fleet.toml and config.json, which a running member reads at SIGHUP. Ruled out: the program, which is right to refuse a file without keys.

Files are now written beside and renamed. TestFilesAreReplacedWhole opens the file before it is replaced and reads it after: with os.WriteFile it reads the new text through the old file and fails.

--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -411,6 +411,23 @@
 // LogPath is where the member's processes write their log.
 func (m *Member) LogPath() string { return m.file("log") }
 
+// replace puts a whole file in the place of the one that is there: a process that reads just then has the old
+// text or the new one, and never a part of either.
+func replace(path, text string) error {
+	f, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".*")
+	if err != nil {
+		return err
+	}
+	_, err = f.WriteString(text)
+	if err = cmp.Or(err, f.Close()); err == nil {
+		err = os.Rename(f.Name(), path)
+	}
+	if err != nil {
+		_ = os.Remove(f.Name())
+	}
+	return err
+}
+
 // write writes the files that a start of the member reads. edit changes the fleet's file.
 func (m *Member) write(edit ...string) (env []string, err error) {
 	r := m.rig
@@ -437,7 +454,7 @@
 	fmt.Fprintf(&fleet, "join = [%s]\n", strings.Join(join, ", "))
 	if r.cfg.Keys != "" {
 		fleet.WriteString("keys = \"fleet.keys\"\n")
-		if err := os.WriteFile(filepath.Join(r.cfg.Dir, "fleet.keys"), []byte(r.cfg.Keys), 0o600); err != nil {
+		if err := replace(filepath.Join(r.cfg.Dir, "fleet.keys"), r.cfg.Keys); err != nil {
 			return nil, err
 		}
 	}
@@ -445,7 +462,7 @@
 		r.cfg.Period.Milliseconds())
 	fleet.WriteString(r.cfg.Limits)
 	text := strings.NewReplacer(edit...).Replace(fleet.String())
-	if err := os.WriteFile(m.file("fleet.toml"), []byte(text), 0o600); err != nil {
+	if err := replace(m.file("fleet.toml"), text); err != nil {
 		return nil, err
 	}
 	tmp := m.file("tmp")
@@ -455,7 +472,7 @@
 	conf := fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"operator":%q,
 		"limits":{"cores":1,"memory_mb":192,"sockets":400},"settings":%s}`, m.Name, m.Front(),
 		r.relayHost(1+m.index, portDisco), m.Door(), strings.NewReplacer(r.cfg.Edit...).Replace(Settings))
-	if err := os.WriteFile(m.file("config.json"), []byte(conf), 0o600); err != nil {
+	if err := replace(m.file("config.json"), conf); err != nil {
 		return nil, err
 	}
 	return []string{"RELAY_CONFIG=" + m.file("config.json"), "TMPDIR=" + tmp, "GOMAXPROCS=2"}, nil
--- a/internal/rig/process_test.go
+++ b/internal/rig/process_test.go
@@ -5,6 +5,7 @@
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"path/filepath"
@@ -122,6 +123,33 @@
 	awaitSettled(t, r, "all have the new key")
 }
 
+// All members read one file of keys, and each writes it anew when it starts: a process that has opened it
+// when another one does so reads a whole text. Two that started side by side once had no keys.
+func TestFilesAreReplacedWhole(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "fleet.keys")
+	for _, text := range []string{"one\n", "two\n"} {
+		if err := replace(path, text); err != nil {
+			t.Fatal(err)
+		}
+	}
+	reader, err := os.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer reader.Close()
+	if err := replace(path, "three\n"); err != nil {
+		t.Fatal(err)
+	}
+	old, err := io.ReadAll(reader)
+	now, nerr := os.ReadFile(path)
+	if err != nil || nerr != nil || string(old) != "two\n" || string(now) != "three\n" {
+		t.Errorf("read %q (%v), then %q (%v)", old, err, now, nerr)
+	}
+	if left, _ := filepath.Glob(path + ".*"); left != nil {
+		t.Errorf("left behind: %v", left)
+	}
+}
+
 // Members whose rosters differ show that.
 func TestRostersThatDifferAreShown(t *testing.T) {
 	r := open(t, Config{Members: 3, Seed: 23})
