Say yes in an upgrade only once the old process knows of its successor

Seen while reading the upgrade for crossings: prepare set front.ready and only then sent 'ready' over the link. Whoever had the yes at the door could tell the old process to end before that word had come through. Shutdown looked once whether a successor serves, took the ordinary way then, said 503 at /up for the coordinator and turned clients away that the successor was there for. The test of the upgrade waited for the word itself, and so hid it. And clients were accepted before front.ready, so that one could be told 503 by a process that was about to say yes.

A successor that comes to serve while the old process is ending already has its clients led over from that moment.

TestYesWaitsUntilTheOldProcessKnows plays the old process by a script and holds its word back; without the mend the door says 200 and clients are taken. TestSuccessorServesWhileTheOldProcessEnds says 'ready' after SIGTERM; without the mend it never leads over. TestSuccessorTakesOver no longer waits for the word.

--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -154,7 +154,7 @@
 		k.server.TurnedAway = k.front.TurnAway
 	}
 	go k.core.Run()
-	k.upgrade = &upgrade{k: k, path: socketPath(cfg), budget: budget, all: most}
+	k.upgrade = &upgrade{k: k, path: socketPath(cfg), budget: budget, all: most, heard: make(chan struct{}, 1)}
 	if h != nil && h.fleet != nil {
 		k.upgrade.place = make(chan *fleet.Handover, 1)
 	}
@@ -253,13 +253,13 @@
 			return
 		}
 		k.core.Cordoned(linkWait) // behind the list in the core's queue: once it is back, that is taken in
-		if err := k.accept(budget); err != nil {
-			k.log.Error("a front could not be taken over", "err", err)
-		}
 	}
-	k.front.ready.Store(!k.ending.Load())
 	k.upgrade.ready()
+	k.front.ready.Store(!k.ending.Load()) // before a client is heard, who would else be told no
 	if beside {
+		if err := k.accept(budget); err != nil {
+			k.log.Error("a front could not be taken over", "err", err)
+		}
 		k.takeFleetOver()
 	}
 }
@@ -495,11 +495,9 @@
 	answerOn, endingLimit := k.conf.ending()
 	k.mu.Unlock()
 	idle := k.core.Finish(begun.Add(answerOn))
-	if handed {
-		k.lead(ends, begun.Add(answerOn-lastReply))
-	} else {
+	if !handed {
 		time.Sleep(acceptOn)
-		for used := true; used && time.Since(begun) < answerOn-serveLeast; {
+		for used := true; used && !k.upgrade.handedOver() && time.Since(begun) < answerOn-serveLeast; {
 			used = false
 			for _, x := range ends {
 				used = used || time.Since(x.LastRequest()) < quietOn
@@ -509,6 +507,14 @@
 			}
 		}
 	}
+	if k.upgrade.handedOver() { // before the end was asked for, or since
+		if !handed {
+			k.log.Info("a successor serves now")
+			handed = true
+			k.front.ready.Store(true)
+		}
+		k.lead(ends, begun.Add(answerOn-lastReply))
+	}
 	for _, x := range ends {
 		x.StopListening()
 		x.Finish()
--- a/internal/platform/upgrade.go
+++ b/internal/platform/upgrade.go
@@ -53,7 +53,8 @@
 	Since   map[balance.ReplicaID]balance.Micros `json:"since,omitempty"`   // old: and back
 	Memory  balance.Memory                       `json:"memory"`            // old: what its module hands over
 	Most    int                                  `json:"most,omitempty"`    // old: descriptors for the new one
-	Ready   bool                                 `json:"ready,omitempty"`   // new: it serves
+	Ready   bool                                 `json:"ready,omitempty"`   // new: it is about to serve
+	Heard   bool                                 `json:"heard,omitempty"`   // old: it knows that
 	Cordon  *cordonWord                          `json:"cordon,omitempty"`  // both: an operator's call
 	Fleet   *fleet.Handover                      `json:"fleet,omitempty"`   // old: where it stands in the fleet
 }
@@ -300,6 +301,7 @@
 	budget *lnet.Budget
 	all    int                  // descriptors for clients and nodes, while there is one process
 	place  chan *fleet.Handover // the old process's in the fleet; nil: none is to be taken over
+	heard  chan struct{}        // the old process's word that it knows of this one
 
 	mu        sync.Mutex // guards all below
 	asked     *net.UnixListener
@@ -417,6 +419,7 @@
 			u.serves = true
 			u.mu.Unlock()
 			u.k.log.Info("the successor serves")
+			l.say(word{Heard: true})
 			if u.k.fleet != nil { // from now on that one is the member
 				l.say(word{Fleet: u.k.fleet.Release()})
 			}
@@ -524,6 +527,12 @@
 			if w.Most > 0 {
 				u.limit(w.Most, false)
 			}
+			if w.Heard {
+				select {
+				case u.heard <- struct{}{}:
+				default:
+				}
+			}
 			if w.Fleet != nil && u.place != nil {
 				select {
 				case u.place <- w.Fleet:
@@ -544,15 +553,24 @@
 	}()
 }
 
-// ready tells the old process that this one serves, and takes its place as the one to ask.
+// ready tells the old process that this one is about to serve, and takes its place as the one to ask. It comes
+// back once the old process knows: whoever hears this one's yes may tell the old one to end at once, and how
+// that ends depends on it. One of an older version says nothing; then it is waited for so long.
 func (u *upgrade) ready() {
 	u.mu.Lock()
 	old := u.old
 	u.mu.Unlock()
-	go u.open()
 	if old != nil {
 		old.say(word{Ready: true})
+		select {
+		case <-u.heard:
+		case <-old.over:
+		case <-time.After(linkWait):
+			u.k.log.Warn("the old process has not said that it knows of this one")
+		case <-u.k.stop:
+		}
 	}
+	go u.open()
 }
 
 // obey carries out an operator's call that the other process has had.
--- a/internal/platform/upgrade_test.go
+++ b/internal/platform/upgrade_test.go
@@ -74,7 +74,9 @@
 	standin.Until(t, "the yes", func() bool {
 		return standin.Call(t, fresh.Door(), "GET", "/admin/health", nil, "").Status == 200
 	})
-	standin.Until(t, "its word to the old one", old.upgrade.handedOver)
+	if !old.upgrade.handedOver() {
+		t.Error("the successor says yes before the old process knows of it")
+	}
 	if fresh.peers.c.LocalAddr().String() != old.peers.c.LocalAddr().String() {
 		t.Error("datagrams come to another address")
 	}
@@ -120,6 +122,99 @@
 	})
 }
 
+// Who hears a successor's yes may end the old process at once: until that one has said that it knows of the
+// successor, there is no yes, neither at the door nor for clients.
+func TestYesWaitsUntilTheOldProcessKnows(t *testing.T) {
+	cfg := together(t, door(t, newDiscovery(t, hostAt("a", "127.0.0.1:1", 0))))
+	clients, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer clients.Close()
+	asked, err := net.ListenUnix("unix", &net.UnixAddr{Name: socketPath(cfg), Net: "unix"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer asked.Close()
+	told := make(chan *link)
+	go func() { // an old process by the script
+		defer close(told)
+		c, err := asked.AcceptUnix()
+		if err != nil {
+			return
+		}
+		l := newLink(c, standin.Quiet())
+		if _, err := l.next(); err != nil {
+			return
+		}
+		_ = withFD(clients, func(fd int) error {
+			return l.write(word{Sockets: []string{"listen"}, Most: 40}, fd)
+		})
+		if w, err := l.next(); err == nil && w.Ready {
+			told <- l
+		}
+	}()
+	fresh, err := Start(cfg, standin.Quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(fresh.Close)
+	l := <-told
+	if l == nil {
+		t.Fatal("the old process heard nothing")
+	}
+	defer l.close()
+	if r := standin.Call(t, fresh.Door(), "GET", "/admin/health", nil, ""); r.Status != 503 {
+		t.Errorf("the door says %d", r.Status)
+	}
+	if fresh.accepting.Load() {
+		t.Error("clients are taken, and would be told no")
+	}
+	if err := l.write(word{Heard: true}); err != nil {
+		t.Fatal(err)
+	}
+	standin.Until(t, "the yes", func() bool {
+		return standin.Call(t, fresh.Door(), "GET", "/admin/health", nil, "").Status == 200
+	})
+	if r := standin.Call(t, cfg.Listen, "GET", "/up", nil, ""); r.Status != 200 {
+		t.Errorf("/up says %d", r.Status)
+	}
+}
+
+// SIGTERM may come before the successor serves. Once it does, the old process leads its clients over.
+func TestSuccessorServesWhileTheOldProcessEnds(t *testing.T) {
+	n := standin.NewNode(t, ok)
+	cfg := together(t, config(t, newDiscovery(t, hostAt("a", n.Addr, 0))))
+	old := run(t, cfg)
+	standin.Until(t, "the socket to ask at", func() bool {
+		_, err := os.Lstat(socketPath(cfg))
+		return err == nil
+	})
+	now := *cfg
+	h, _ := inherit(&now, standin.Quiet())
+	if h == nil {
+		t.Fatal("nothing to take over")
+	}
+	defer h.drop()
+	go h.link.talk()
+	c, err := lnet.Dial(cfg.Listen, time.Second, 1<<10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	kept(t, c, "before")
+	ended := make(chan struct{})
+	go func() { old.Shutdown(); close(ended) }()
+	standin.Until(t, "the end to begin", func() bool { return !old.front.ready.Load() })
+	if !kept(t, c, "sigterm") {
+		t.Error("a connection is ended while there is nobody else to serve")
+	}
+	h.link.say(word{Ready: true})
+	standin.Until(t, "the yes for both", func() bool { return old.front.ready.Load() })
+	standin.Until(t, "the clients to be led over", func() bool { return old.server.Open() == 0 || !kept(t, c, "then") })
+	<-ended
+}
+
 // Descriptors are shared out: two processes never hold more than one may, and what the old one gives up is
 // the new one's, in full once it is alone.
 func TestDescriptorsAreSharedOut(t *testing.T) {
