Share descriptors between three processes where an upgrade begins before the last one is over

Cause: each end of a link bounded the process by itself (upgrade.limit with a number and 'alone'). A process that still had the one before it gave its successor half of the whole, not of what it was left; and as the one before ended, follow took all back although a successor was there (lines of follow and handOver that called limit(all, true)).

The state has one owner now: what the old process leaves, what is kept beside the successor, and who is there are fields under one lock, and limit() finds the bounds from them whenever one changes.

--- a/internal/platform/upgrade.go
+++ b/internal/platform/upgrade.go
@@ -303,10 +303,14 @@
 	place  chan *fleet.Handover // the old process's in the fleet; nil: none is to be taken over
 	heard  chan struct{}        // the old process's word that it knows of this one
 
+	limiting sync.Mutex // has one at a time bound this process, so that what was found last holds
+
 	mu        sync.Mutex // guards all below
 	asked     *net.UnixListener
 	old       *link // while this process takes over
+	given     int   // descriptors that the old process leaves to this one, and to whoever follows it
 	successor *link // while another one takes over from this one
+	mine      int   // descriptors that are not for the successor
 	serves    bool  // the successor does
 	closed    bool
 }
@@ -316,8 +320,29 @@
 	return max(4*endingSpare, u.k.cfg.Limits.Sockets-2*(leastSockets+u.k.doorSockets()+u.k.cfg.fleetSockets()))
 }
 
-// limit bounds this process's descriptors and, while there are two, its memory and what it gives cold nodes.
-func (u *upgrade) limit(most int, alone bool) {
+// whole is what this process and its successor may take together: what the one before it leaves them, where
+// that is still there. The caller holds mu.
+func (u *upgrade) whole() int {
+	if u.old != nil {
+		return u.given
+	}
+	return u.shared()
+}
+
+// limit bounds this process's descriptors and, while there are others, its memory and what it gives cold
+// nodes, by who is there now.
+func (u *upgrade) limit() {
+	u.limiting.Lock()
+	defer u.limiting.Unlock()
+	u.mu.Lock()
+	most, alone := u.all, u.old == nil && u.successor == nil
+	if !alone {
+		most = u.whole()
+	}
+	if u.successor != nil {
+		most = min(most, u.mine)
+	}
+	u.mu.Unlock()
 	part, spare := int64(u.k.cfg.Limits.MemoryMB)<<20*memoryPart/10, lnet.SpareMost
 	if !alone {
 		part, spare = part/2, leastSpare
@@ -398,21 +423,17 @@
 		return
 	}
 	_ = l.c.SetReadDeadline(time.Time{})
-	mine := u.shared() / 2
-	u.limit(mine, false)
-	for u.budget.Used() > mine && u.k.server.MakeWay() {
-	}
-	if err := u.greet(l, mine); err != nil {
+	if err := u.greet(l); err != nil {
 		u.k.log.Warn("the sockets could not be handed over", "err", err)
 		u.mu.Lock()
 		u.successor = nil
 		u.mu.Unlock()
-		u.limit(u.all, true)
+		u.limit()
 		return
 	}
 	u.k.log.Info("a successor takes over")
 	go l.talk()
-	go u.shareOut(l, mine)
+	go u.shareOut(l)
 	l.hear(func(w word) {
 		if w.Ready {
 			u.mu.Lock()
@@ -436,7 +457,7 @@
 	u.mu.Unlock()
 	if again { // it is this process again that is to be asked
 		u.k.log.Warn("the successor is gone")
-		u.limit(u.all, true)
+		u.limit()
 		if u.k.fleet != nil {
 			u.k.fleet.Again()
 		}
@@ -444,8 +465,9 @@
 	}
 }
 
-// shareOut gives the successor what this process does not hold any more, as it ends.
-func (u *upgrade) shareOut(l *link, mine int) {
+// shareOut gives the successor what this process does not hold any more, as it ends, and its part of what the
+// one before this one gives up.
+func (u *upgrade) shareOut(l *link) {
 	tick := time.NewTicker(shareEvery)
 	defer tick.Stop()
 	for told := 0; ; {
@@ -454,32 +476,47 @@
 			return
 		case <-tick.C:
 		}
+		u.mu.Lock()
+		mine := u.whole() / 2
 		if u.k.ending.Load() {
-			mine = min(mine, u.budget.Used()+endingSpare)
-			u.limit(mine, false)
+			mine = min(u.mine, u.budget.Used()+endingSpare)
+		}
+		changed := mine != u.mine
+		u.mine = mine
+		most := u.rest()
+		u.mu.Unlock()
+		if changed {
+			u.limit()
 		}
-		if most := u.rest(mine); most != told {
+		if most != told {
 			told = most
 			l.say(word{Most: most})
 		}
 	}
 }
 
-// rest is what the successor may take: what this process neither holds nor may.
-func (u *upgrade) rest(mine int) int { return max(endingSpare, u.shared()-max(mine, u.budget.Used())) }
+// rest is what the successor may take: what this process neither holds nor may. The caller holds mu.
+func (u *upgrade) rest() int { return max(endingSpare, u.whole()-max(u.mine, u.budget.Used())) }
 
-// greet sends the greeting with the sockets beside it. Their modes stay as they are: both processes poll
-// them. The successor is there to be told before what operators have said is read: a call between the two
-// would else be in neither. It is passed on behind the greeting.
-func (u *upgrade) greet(l *link, mine int) error {
+// greet makes room for a successor and sends it the greeting with the sockets beside it. Their modes stay as
+// they are: both processes poll them. The successor is there to be told before what operators have said is
+// read: a call between the two would else be in neither. It is passed on behind the greeting.
+func (u *upgrade) greet(l *link) error {
 	u.mu.Lock()
-	u.successor = l
+	u.successor, u.mine = l, u.whole()/2
+	mine := u.mine
 	u.mu.Unlock()
+	u.limit()
+	for u.budget.Used() > mine && u.k.server.MakeWay() {
+	}
 	said, ok := u.k.core.Cordoned(linkWait / 2)
 	if !ok {
 		return errors.New("the core is busy")
 	}
-	w := word{Out: said.Out, Barred: said.Barred, Since: said.Since, Memory: said.Memory, Most: u.rest(mine)}
+	u.mu.Lock()
+	most := u.rest()
+	u.mu.Unlock()
+	w := word{Out: said.Out, Barred: said.Barred, Since: said.Since, Memory: said.Memory, Most: most}
 	socks := []any{u.k.server.Listener()}
 	w.Sockets = []string{"listen"}
 	if u.k.peers != nil {
@@ -518,14 +555,17 @@
 // follow is a new process's side from the greeting on: it hears the old process until that is gone.
 func (u *upgrade) follow(h *inheritance) {
 	u.mu.Lock()
-	u.old = h.link
+	u.old, u.given = h.link, h.greeting.Most
 	u.mu.Unlock()
-	u.limit(h.greeting.Most, false)
+	u.limit()
 	go h.link.talk()
 	go func() {
 		h.link.hear(func(w word) {
 			if w.Most > 0 {
-				u.limit(w.Most, false)
+				u.mu.Lock()
+				u.given = w.Most
+				u.mu.Unlock()
+				u.limit()
 			}
 			if w.Heard {
 				select {
@@ -545,7 +585,7 @@
 		u.mu.Lock()
 		u.old = nil
 		u.mu.Unlock()
-		u.limit(u.all, true)
+		u.limit()
 		u.k.log.Info("the old process is gone")
 		if u.k.fleet != nil {
 			u.k.fleet.Alone()
--- a/internal/platform/upgrade_test.go
+++ b/internal/platform/upgrade_test.go
@@ -240,6 +240,54 @@
 	standin.Until(t, "all for one", func() bool { return fresh.upgrade.budget.Most() == whole })
 }
 
+// A process may be taken over from while the one before it still ends: the three share what one may hold, and
+// the end of the first does not have the second take all.
+func TestThreeProcessesShareDescriptors(t *testing.T) {
+	cfg := together(t, config(t, newDiscovery(t, hostAt("a", "127.0.0.1:1", 0))))
+	first := run(t, cfg)
+	standin.Until(t, "the socket to ask at", func() bool {
+		_, err := os.Lstat(socketPath(cfg))
+		return err == nil
+	})
+	follow := func(before *Coordinator) *Coordinator {
+		t.Helper()
+		now := *cfg
+		k, err := Start(&now, standin.Quiet())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(k.Close)
+		standin.Until(t, "its word to the one before", before.upgrade.handedOver)
+		return k
+	}
+	all := func(of ...*Coordinator) (sum int) {
+		for _, k := range of {
+			sum += k.upgrade.budget.Most()
+		}
+		return sum
+	}
+	second := follow(first)
+	standin.Until(t, "the second to be the one to ask", func() bool {
+		second.upgrade.mu.Lock()
+		defer second.upgrade.mu.Unlock()
+		return second.upgrade.asked != nil
+	})
+	third := follow(second)
+	if sum := all(first, second, third); sum > first.upgrade.shared() {
+		t.Errorf("three processes may hold %d, of %d", sum, first.upgrade.shared())
+	}
+	first.Shutdown()
+	standin.Until(t, "what the first one held", func() bool { return all(second, third) == first.upgrade.shared() })
+	for range 3 { // it stays so
+		time.Sleep(shareEvery)
+		if sum := all(second, third); sum > first.upgrade.shared() {
+			t.Fatalf("two processes may hold %d, of %d", sum, first.upgrade.shared())
+		}
+	}
+	second.Shutdown()
+	standin.Until(t, "all for one", func() bool { return third.upgrade.budget.Most() == third.upgrade.all })
+}
+
 // Where there is nobody to take over from, or no place to meet, a coordinator starts and serves all the same.
 func TestNoSuccessionIsHarmless(t *testing.T) {
 	n := standin.NewNode(t, ok)
@@ -307,7 +355,7 @@
 	old, fresh := newLink(ours, standin.Quiet()), newLink(theirs, standin.Quiet())
 	defer old.close()
 	defer fresh.close()
-	if err := k.upgrade.greet(old, 20); err != nil {
+	if err := k.upgrade.greet(old); err != nil {
 		t.Fatal(err)
 	}
 	k.upgrade.pass(7, core.Here, true)
