Go on from a known list of version 0: thirty starts that asked for it whole broke the rule on drains

With each call for the list in the log: all 32 coordinators asked for the whole list in their first moment, though the configuration named one. It was given at once, and kept discovery busy: the calls that wait for news were refused with 503 at 0.07 s, again at 1 to 2 s, and heard of a change of 1.83 s at 2.8 to 9.5 s.

Ruled out: the wait of a call (trials with 2.5 and 20 s behave alike) and the load of calls that go on after an answer, which cost discovery nothing.

Now it counts whether a list with nodes is known. TestAskedWatchGoesOnFromAKnownList: without the mend the first call is for the whole list.

--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -106,8 +106,10 @@
 	}
 	// The whole list is asked for at the start where it costs nothing. Where a call is work for discovery, a
 	// watch goes on from the list that was known before the start: many coordinators that start together would
-	// else ask for more lines than discovery can give, and none of them would hear of anything.
-	whole, wanted := watching || w.seq == 0 || w.beside, false
+	// else ask for more lines than discovery can give, and none of them would hear of anything. Version 0 is one
+	// like any other; a list without a node tells of none that it might be missing.
+	known := w.cfg.Known != nil && len(w.cfg.Known.Hosts) > 0
+	whole, wanted := watching || !known || w.beside, false
 	failed := 0         // calls in a row
 	renewed := false    // after silence a call that is asked for is made anew at once, and only then given up
 	var begun time.Time // of the last call
--- a/internal/platform/watch_test.go
+++ b/internal/platform/watch_test.go
@@ -278,6 +278,31 @@
 	getsNothing(t, k, a)
 }
 
+// A list that is known is gone on from, whatever its version: 0 is one like any other. Thirty coordinators that
+// asked for the whole list at their start kept discovery from telling any of them what changed just then.
+func TestAskedWatchGoesOnFromAKnownList(t *testing.T) {
+	a, b := standin.NewNode(t, ok), standin.NewNode(t, ok)
+	both := []host{hostAt("a", a.Addr, 0), hostAt("b", b.Addr, 0)}
+	drains := both[0]
+	drains.Health = "terminating"
+	d := newScripted(t, func(n int, _ string, c *net.TCPConn) {
+		if n == 1 {
+			tell(c, list(1, false, drains))
+		}
+	})
+	c := config(t, &discovery{addr: d.addr}, `"membershipMode":"automatic"`, `"membershipMode":"subscribe"`)
+	c.Known = &hostList{Seq: 0, Whole: true, Hosts: both}
+	k := run(t, c)
+	standin.Until(t, "the next call", func() bool { return d.count() >= 2 })
+	d.mu.Lock()
+	seen := append([]string(nil), d.seen...)
+	d.mu.Unlock()
+	if seen[0] != "index=0&wait=2500" || seen[1] != "index=1&wait=2500" {
+		t.Fatalf("%q", seen)
+	}
+	getsNothing(t, k, a)
+}
+
 // A call that is overdue is not given up for the next one: whichever is answered first counts. An agent that
 // comes back answers new calls only, and one that is slow the old ones.
 func TestOverdueCallStaysOutBesideTheNext(t *testing.T) {
