Have an idle client of any front make way for a server's connection, not of the last front alone

Seen while reading accept at the descriptor limit: fronts share one budget, and each server that is made told it how a connection can be spared (Budget.spareBy).

The budget keeps the word of each server and asks them in turn. TestIdleClientOfAnyFrontMakesWay: without the mend the idle client of the first front keeps a server out.

--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -15,6 +15,7 @@
 	"math"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -224,7 +225,7 @@
 	clients          atomic.Int64 // of those in use
 	spare            atomic.Int64 // beyond it, each for a client that is to be refused
 	rings            pool
-	spared           atomic.Pointer[func() bool] // closes a connection that can be spared, if there is one
+	spared           atomic.Pointer[[]func() bool] // by server: closes a connection that can be spared
 }
 
 // NewBudget returns a budget of most descriptors with kept of them closed to clients.
@@ -256,12 +257,30 @@
 	if b.take(0) {
 		return true
 	}
-	f := b.spared.Load()
-	return f != nil && (*f)() && b.take(0)
+	if all := b.spared.Load(); all != nil {
+		for _, spare := range *all {
+			if spare() && b.take(0) {
+				return true
+			}
+		}
+	}
+	return false
 }
 
-// spareBy has a connection make way for servers' ones, if f finds one.
-func (b *Budget) spareBy(f func() bool) { b.spared.Store(&f) }
+// spareBy has a connection make way for servers' ones, if f finds one. Servers that share a budget, one a
+// front, are asked in turn.
+func (b *Budget) spareBy(f func() bool) {
+	for {
+		old := b.spared.Load()
+		all := []func() bool{f}
+		if old != nil {
+			all = append(slices.Clone(*old), f)
+		}
+		if b.spared.CompareAndSwap(old, &all) {
+			return
+		}
+	}
+}
 
 // TakeClient takes one for a client's connection.
 func (b *Budget) TakeClient() bool {
--- a/internal/net/narrow_test.go
+++ b/internal/net/narrow_test.go
@@ -327,6 +327,29 @@
 	}
 }
 
+// Fronts share one budget: a client of either makes way, whichever front was opened last.
+func TestIdleClientOfAnyFrontMakesWay(t *testing.T) {
+	b := NewBudget(3, 1)
+	fronts := []*echo{serve(t, b), serve(t, b)}
+	for i, e := range fronts {
+		idler := dial(t, e.Server)
+		if r, err := idler.post("x"); err != nil || r.Status != 200 {
+			t.Fatal(r, err)
+		}
+		until(t, "an idle one", func() bool { return e.idle() == 1 })
+		for range 3 - i {
+			if !b.TakeServer() {
+				t.Fatalf("an idle client of front %d has kept a server out", i)
+			}
+		}
+		if _, err := idler.Read(time.Now().Add(9 * time.Second)); !errors.Is(err, io.EOF) {
+			t.Fatalf("the idle one saw %v", err)
+		}
+		b.Release()
+		b.Release()
+	}
+}
+
 // While a reply or an error may be on its way its connection is not closed to make way.
 func TestWhatWasJustWrittenIsNotSpared(t *testing.T) {
 	for _, x := range []struct {
