Tell clients when to come back by the settings in force, whoever turns them away

Seen while reading for what belongs to one deployment: the module asks whether clients may hear of it (retryAfter) and how long they follow (maxRetryAfterUs), the rest did not. A full table or queue said 0.25 s (core.fullAdvice), a limit of the fleet its own time, and too many connections 1 s (net.exchange), also where clients are not to be told, or follow 0.5 s at most, as one of the deployments has it.

The core owns the bound, takes it from the settings at the start and at each reload, and lays it over every refusal; the server of the platform's front asks it. A range query's refusal names no time where there is none to tell.

TestAdviceGoesByTheSettings and, in TestBudgetOfDescriptors, the client that is refused for want of a descriptor: 0.25 s and 1 s without the mend where 0.1 s, 0.5 s and nothing are due. That test now wants the exact time as well.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -351,6 +351,7 @@
 	quit   chan struct{}
 	epoch  time.Time
 	base   balance.Micros
+	advice atomic.Int64 // the longest that clients follow, a time.Duration; 0: they are told nothing
 
 	// What follows belongs to the goroutine of Run alone.
 	now      balance.Micros
@@ -395,6 +396,7 @@
 		names: map[string]*Query{}, numbers: map[float32]bool{}, listed: map[balance.ReplicaID]balance.Replica{},
 		since: map[balance.ReplicaID]balance.Micros{}, order: map[balance.ReplicaID]uint64{},
 	}
+	c.adopt(cfg.Settings)
 	for i := range c.outs {
 		c.outs[i] = map[balance.ReplicaID]balance.Micros{}
 	}
@@ -459,7 +461,23 @@
 func (c *Core) Counts() *Counts { return c.cfg.Counts }
 
 // FullAdvice is when to come back where there was no room.
-func (c *Core) FullAdvice() time.Duration { return fullAdvice }
+func (c *Core) FullAdvice() time.Duration { return c.Advise(fullAdvice) }
+
+// Advise is what a client may be told of when to come back: no longer than the settings in force say that it
+// follows, and nothing, 0, where they let it hear nothing.
+func (c *Core) Advise(after time.Duration) time.Duration {
+	return min(after, time.Duration(c.advice.Load()))
+}
+
+// adopt notes the settings in force.
+func (c *Core) adopt(s balance.Settings) {
+	c.cfg.Settings = s
+	longest := time.Duration(0)
+	if s.CanAdvise {
+		longest = time.Duration(s.MaxRetryAfter) * time.Microsecond
+	}
+	c.advice.Store(int64(longest))
+}
 
 // Finish tells the module that this instance ends at the time given, and returns a channel that is closed
 // once no query is open.
@@ -650,7 +668,7 @@
 		}
 		c.events = append(c.events, balance.Event{Kind: balance.Recalled, Memory: &e.Memory})
 	case Reconfigured:
-		c.cfg.Settings = e.Settings
+		c.adopt(e.Settings)
 		c.events = append(c.events, balance.Event{Kind: balance.Changed, Settings: &e.Settings})
 	case cordons:
 		e.done <- Inherited{Out: maps.Clone(c.outs[Here]), Barred: maps.Clone(c.outs[ByFleet]),
@@ -1128,6 +1146,7 @@
 // reply hands out the final answer of a query that is not open, or not any more.
 func (c *Core) reply(q *Query, f Final) {
 	c.left(q, f.Ending)
+	f.RetryAfter = c.Advise(f.RetryAfter)
 	q.Client.Final(f)
 }
 
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -287,6 +287,35 @@
 	}
 }
 
+// What a client is told of when to come back is bounded by the settings in force, whoever turns it away.
+func TestAdviceGoesByTheSettings(t *testing.T) {
+	s := settings()
+	s.MaxOpen = 2
+	k := start(t, s)
+	told := func(name string) time.Duration {
+		t.Helper()
+		k.tell(k.query(name, 2)) // more than may be open
+		f := k.f.finals[len(k.f.finals)-1]
+		if f.Ending != Refused {
+			t.Fatalf("%+v", f)
+		}
+		return f.RetryAfter
+	}
+	if got := told("a"); got != fullAdvice || k.FullAdvice() != fullAdvice {
+		t.Errorf("told %v, %v", got, k.FullAdvice())
+	}
+	s.MaxRetryAfter = 100 * ms
+	k.tell(Reconfigured{Settings: s})
+	if got := told("b"); got != 100*time.Millisecond || k.FullAdvice() != got {
+		t.Errorf("clients follow 0.1 s, told %v, %v", got, k.FullAdvice())
+	}
+	s.CanAdvise = false
+	k.tell(Reconfigured{Settings: s})
+	if got := told("c"); got != 0 || k.FullAdvice() != 0 {
+		t.Errorf("clients hear nothing, told %v, %v", got, k.FullAdvice())
+	}
+}
+
 func TestFinishAnswersAllBeforeTheEnd(t *testing.T) {
 	k := start(t, settings())
 	k.tell(k.query("a", 1))
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -366,6 +366,8 @@
 	closing  atomic.Bool
 	// TurnedAway, if set, hears of each request that is refused because too many connections are open.
 	TurnedAway func(r *Request)
+	// Advise, if set, is what such a client may be told of when to come back; 0: nothing.
+	Advise func(after time.Duration) time.Duration
 	// Keeper, if set, says who is let in, and Secure, if set, makes the connection one by TLS. Both are set
 	// before Serve.
 	Keeper *Keeper
@@ -942,9 +944,15 @@
 		if c.s.TurnedAway != nil {
 			c.s.TurnedAway(req)
 		}
-		after := strconv.Itoa(max(1, int(math.Ceil(c.after.Seconds()))))
-		return Response{Status: 503, Header: [][2]string{{"Retry-After", after}},
-			Body: []byte("too many connections\n")}, true
+		r := Response{Status: 503, Body: []byte("too many connections\n")}
+		after := time.Duration(max(1, math.Ceil(c.after.Seconds()))) * time.Second
+		if c.s.Advise != nil {
+			after = c.s.Advise(after)
+		}
+		if after > 0 {
+			r.Header = [][2]string{{"Retry-After", strconv.FormatFloat(after.Seconds(), 'f', -1, 64)}}
+		}
+		return r, true
 	}
 	c.s.last.Store(req.At.UnixNano())
 	gone := c.s.handle(req, x)
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -145,6 +146,7 @@
 	mu   sync.Mutex
 	held []*Exchange
 	gone int
+	most atomic.Int64 // what Advise bounds advice by
 }
 
 func serve(t *testing.T, budget *Budget) *echo {
@@ -155,6 +157,8 @@
 		t.Fatal(err)
 	}
 	e.Server = s
+	e.most.Store(int64(time.Hour))
+	s.Advise = func(after time.Duration) time.Duration { return min(after, time.Duration(e.most.Load())) }
 	go s.Serve()
 	t.Cleanup(func() { s.Finish(); s.StopListening() })
 	return e
@@ -322,9 +326,16 @@
 	}
 	until(t, "both", func() bool { return e.count(func() int { return len(e.held) }) == 2 })
 	r, err := dial(t, e.Server).post("x")
-	if err != nil || r.Status != 503 || r.Header.Get("Retry-After") == "" {
+	if err != nil || r.Status != 503 || r.Header.Get("Retry-After") != "1" {
 		t.Fatalf("%v %v", r, err)
 	}
+	for want, longest := range map[string]time.Duration{"0.5": 500 * time.Millisecond, "": 0} {
+		e.most.Store(int64(longest))
+		until(t, "the end of the one that was refused", func() bool { return e.spare.Load() == 0 })
+		if r, err := dial(t, e.Server).post("x"); err != nil || r.Status != 503 || r.Header.Get("Retry-After") != want {
+			t.Fatalf("%v %v, not %q", r, err, want)
+		}
+	}
 	if !b.TakeServer() || !b.TakeServer() || b.TakeServer() {
 		t.Fatal("clients took what is kept for servers, or servers got more")
 	}
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -151,7 +151,7 @@
 		}
 	}
 	if k.server != nil {
-		k.server.TurnedAway = k.front.TurnAway
+		k.server.TurnedAway, k.server.Advise = k.front.TurnAway, k.core.Advise
 	}
 	go k.core.Run()
 	k.upgrade = &upgrade{k: k, path: socketPath(cfg), budget: budget, all: most, heard: make(chan struct{}, 1)}
--- a/internal/promql/front.go
+++ b/internal/promql/front.go
@@ -290,7 +290,9 @@
 // unavailable is a refusal. Retry-After is in whole seconds, as HTTP has it.
 func unavailable(kind string, after time.Duration, err error) lnet.Response {
 	r := errorReply(&apiError{503, kind, err})
-	r.Header = [][2]string{{"Retry-After", strconv.Itoa(max(1, int(math.Ceil(after.Seconds()))))}}
+	if after > 0 { // else the settings let clients hear nothing
+		r.Header = [][2]string{{"Retry-After", strconv.Itoa(max(1, int(math.Ceil(after.Seconds()))))}}
+	}
 	return r
 }
 
