--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -332,7 +332,8 @@
 	for want, longest := range map[string]time.Duration{"0.5": 500 * time.Millisecond, "": 0} {
 		e.most.Store(int64(longest))
 		until(t, "the end of the one that was refused", func() bool { return e.spare.Load() == 0 })
-		if r, err := dial(t, e.Server).post("x"); err != nil || r.Status != 503 || r.Header.Get("Retry-After") != want {
+		r, err := dial(t, e.Server).post("x")
+		if err != nil || r.Status != 503 || r.Header.Get("Retry-After") != want {
 			t.Fatalf("%v %v, not %q", r, err, want)
 		}
 	}
--- a/internal/platform/upgrade.go
+++ b/internal/platform/upgrade.go
@@ -593,9 +593,9 @@
 	}()
 }
 
-// ready tells the old process that this one is about to serve, and takes its place as the one to ask. It comes
-// back once the old process knows: whoever hears this one's yes may tell the old one to end at once, and how
-// that ends depends on it. One of an older version says nothing; then it is waited for so long.
+// ready tells the old process that this one is about to serve, and takes its place as the one to ask. It
+// comes back once the old process knows: whoever hears this one's yes may tell the old one to end at once, and
+// how that ends depends on it. One of an older version says nothing: it is waited for no longer than linkWait.
 func (u *upgrade) ready() {
 	u.mu.Lock()
 	old := u.old
--- a/internal/platform/upgrade_test.go
+++ b/internal/platform/upgrade_test.go
@@ -211,7 +211,9 @@
 	}
 	h.link.say(word{Ready: true})
 	standin.Until(t, "the yes for both", func() bool { return old.front.ready.Load() })
-	standin.Until(t, "the clients to be led over", func() bool { return old.server.Open() == 0 || !kept(t, c, "then") })
+	standin.Until(t, "the clients to be led over", func() bool {
+		return old.server.Open() == 0 || !kept(t, c, "then")
+	})
 	<-ended
 }
 
@@ -277,7 +279,9 @@
 		t.Errorf("three processes may hold %d, of %d", sum, first.upgrade.shared())
 	}
 	first.Shutdown()
-	standin.Until(t, "what the first one held", func() bool { return all(second, third) == first.upgrade.shared() })
+	standin.Until(t, "what the first one held", func() bool {
+		return all(second, third) == first.upgrade.shared()
+	})
 	for range 3 { // it stays so
 		time.Sleep(shareEvery)
 		if sum := all(second, third); sum > first.upgrade.shared() {
--- a/internal/standin/newform.go
+++ b/internal/standin/newform.go
@@ -255,8 +255,8 @@
 	}
 }
 
-// goAway tells that nothing after a stream will be looked at, and from here on nothing is: what the client has
-// sent meanwhile counts as left out (RFC 9113, §6.8). It is called from write.
+// goAway tells that nothing after a stream will be looked at, and from here on nothing is: what the client
+// has sent meanwhile counts as left out (RFC 9113, §6.8). It is called from write.
 func (k *newConn) goAway(last uint32) {
 	k.away = true
 	_ = k.fr.WriteGoAway(last, http2.ErrCodeNo, nil)
