--- a/internal/platform/upgrade.go
+++ b/internal/platform/upgrade.go
@@ -594,8 +594,8 @@
 }
 
 // ready tells the old process that this one is about to serve, and takes its place as the one to ask. It
-// comes back once the old process knows: whoever hears this one's yes may tell the old one to end at once, and
-// how that ends depends on it. One of an older version says nothing: it is waited for no longer than linkWait.
+// comes back once the old process knows: whoever hears this one's yes may tell the old one to end at once,
+// and how that ends depends on it. One of an older version says nothing, and is waited for up to linkWait.
 func (u *upgrade) ready() {
 	u.mu.Lock()
 	old := u.old
--- a/internal/platform/watch_test.go
+++ b/internal/platform/watch_test.go
@@ -279,7 +279,7 @@
 }
 
 // A list that is known is gone on from, whatever its version: 0 is one like any other. Thirty coordinators
-// that asked for the whole list at their start kept discovery from telling any of them what changed just then.
+// that asked for the whole list at their start kept discovery from telling any of them what changed then.
 func TestAskedWatchGoesOnFromAKnownList(t *testing.T) {
 	a, b := standin.NewNode(t, ok), standin.NewNode(t, ok)
 	both := []host{hostAt("a", a.Addr, 0), hostAt("b", b.Addr, 0)}
