Hold a terminal's retry to its key's window where its old-form frame is written

A terminal's retry is a query of its own, so the module knows of no window for it; the guard does. To nodes of the new form the guard's moment went along and was looked at when the last byte was written. To nodes of the old form it did not: the router only asked whether dialling and one write fit into what was left, and behind other frames it can take longer.

The router now gives the moment to the attempt (the earlier of the guard's and the module's own), and the connection's writer looks at it, as it does for all others (Attempt.MayBegin). TestRetryIsHeldToItsWindowWhereItIsWritten fails without it: the attempt has no moment. What the writer does with it TestWhatMayNotBeginAnyMoreIsNotWritten holds.

--- a/internal/kiosk/kiosk_test.go
+++ b/internal/kiosk/kiosk_test.go
@@ -12,6 +12,7 @@
 
 	"golang.org/x/net/http2"
 
+	"lapislever/balance"
 	"lapislever/internal/core"
 	lnet "lapislever/internal/net"
 	"lapislever/internal/platform"
@@ -334,3 +335,38 @@
 	<-ended
 	standin.Until(t, "the end of the calls", func() bool { return r.f.http.Open()+r.f.ajp.Open() == 0 })
 }
+
+// A terminal's retry is a query of its own, so that the module knows of no window: the guard's is given to
+// whoever writes the frame, also of the old form, and an earlier one of the module's stays.
+func TestRetryIsHeldToItsWindowWhereItIsWritten(t *testing.T) {
+	n := standin.NewNode(t, func(standin.Part) (string, string) { return "", "" })
+	_, f := load(t, listeners+classes+server("a", n.Addr, "old", 0))
+	r, id := f.router, core.ServerID("a")
+	r.post = func(core.Event) {}
+	r.old = platform.NewNodes(f.base, lnet.NewBudget(10, 0), standin.Quiet(), &core.Counts{}, r.tell)
+	r.old.Learn([]platform.Host{{Host: "a", Dial: n.Addr, Health: "in_service", Share: 1}}, true)
+	r.learn(map[balance.ReplicaID]string{id: OldForm})
+	const window = 3 * time.Second
+	rules := &balance.Class{Effect: balance.Keyed, Window: window.Microseconds()}
+	send := func(name string, before time.Time) *core.Attempt {
+		t.Helper()
+		a := &core.Attempt{Query: &core.Query{Name: name, Key: "k", Rules: rules}, Replica: id,
+			Timeout: time.Minute, Until: time.Now().Add(time.Minute), Before: before}
+		sent := len(n.Parts())
+		r.Send(id, []*core.Attempt{a})
+		standin.Until(t, name, func() bool { return len(n.Parts()) > sent })
+		return a
+	}
+	begun := time.Now()
+	first := send("first", time.Time{})
+	if d := first.Before.Sub(begun); d < window || d > window+time.Second {
+		t.Fatalf("the window of a first send ends after %v", d)
+	}
+	if retry := send("retry", time.Time{}); !retry.Before.Equal(first.Before) {
+		t.Errorf("a retry may begin until %v, its key is forgotten at %v", retry.Before, first.Before)
+	}
+	earlier := first.Before.Add(-time.Second)
+	if repeat := send("repeat", earlier); !repeat.Before.Equal(earlier) {
+		t.Errorf("the module's own window has become %v, not %v", repeat.Before, earlier)
+	}
+}
--- a/internal/kiosk/router.go
+++ b/internal/kiosk/router.go
@@ -89,7 +89,7 @@
 	if form != "" && r.guard != nil && a.Query.Rules.Effect == balance.Keyed {
 		v, token, until := r.guard.Ask(now, a.Query.Key, a.Shard, r.domain(form), a.Query.Rules.Window)
 		if v == translate.Allowed && form == OldForm && until-now < (r.dial+oldSlack).Microseconds() {
-			// It could wait for a connection beyond the window, and nothing there would hold it back.
+			// It could wait for a connection beyond the window: the terminal hears at once why it is not sent.
 			r.guard.Never(now, a.Query.Key, a.Shard, token)
 			v = translate.Past
 		}
@@ -107,6 +107,10 @@
 	switch form {
 	case OldForm:
 		f.via = r.old
+		// Whoever writes it looks at the clock then: it may wait behind others for longer than thought here.
+		if !by.IsZero() && (a.Before.IsZero() || by.Before(a.Before)) {
+			a.Before = by
+		}
 	case NewForm:
 		f.via = r.anew
 	default:
