Ask at the fleet's leaving itself whether a successor is the member by then

Shutdown asked once, before it ended its connections, and left the fleet by that; a successor that came to serve in the seconds between would have been told of as gone by the process that it took over from. The link owns that state, and is asked at the act now.

--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -510,7 +510,6 @@
 	if k.upgrade.handedOver() { // before the end was asked for, or since
 		if !handed {
 			k.log.Info("a successor serves now")
-			handed = true
 			k.front.ready.Store(true)
 		}
 		k.lead(ends, begun.Add(answerOn-lastReply))
@@ -527,7 +526,7 @@
 	for _, x := range ends {
 		x.Wait(max(50*time.Millisecond, time.Until(begun.Add(endingLimit))))
 	}
-	if !handed {
+	if !k.upgrade.handedOver() { // else the successor is the member, since whenever
 		k.leaveFleet(begun.Add(endingLimit))
 	}
 	k.halt()
