Give an attempt's last moment to both forms alike, in Attempt.Before

Read once more: a terminal's retry to the old form was held by Attempt.Before, to the new form by an argument of its own (SendBy, stream.by), so that the same word stood in two places, and the module's own moment did not reach the new form. The router now sets Attempt.Before (the earlier of the guard's and the module's) for either, and hands both backends their attempts by Send.

--- a/internal/grpcnode/backend.go
+++ b/internal/grpcnode/backend.go
@@ -160,13 +160,13 @@
 // Send passes on attempts.
 func (b *Backend) Send(to balance.ReplicaID, call []*core.Attempt) bool {
 	for _, a := range call {
-		b.SendBy(to, a, time.Time{})
+		b.send(to, a)
 	}
 	return true
 }
 
-// SendBy passes on one attempt, whose last byte must not be written after a moment, where one is given.
-func (b *Backend) SendBy(to balance.ReplicaID, a *core.Attempt, by time.Time) {
+// send passes on one attempt. Its last byte is not written after its moment, Attempt.Before.
+func (b *Backend) send(to balance.ReplicaID, a *core.Attempt) {
 	n := b.node(to)
 	if n == nil {
 		b.never(a, balance.NoConnection)
@@ -182,7 +182,7 @@
 			p.Micros, p.Term = uint64(max(0, s.Hint)), s.Key
 		}
 	}
-	s := &stream{a: a, until: time.Now().Add(a.Timeout), by: by, head: [][2]string{{"call-id", q.Name}}}
+	s := &stream{a: a, until: time.Now().Add(a.Timeout), head: [][2]string{{"call-id", q.Name}}}
 	if q.Key != "" {
 		s.head = append(s.head, [2]string{"idempotency-key", q.Key})
 	}
--- a/internal/grpcnode/conn.go
+++ b/internal/grpcnode/conn.go
@@ -40,7 +40,6 @@
 type stream struct {
 	a      *core.Attempt
 	until  time.Time // not begun after this
-	by     time.Time // and its last byte not written after this; zero: no such limit
 	body   []byte    // of the request, still to be put into frames
 	head   [][2]string
 	id     uint32
@@ -357,8 +356,8 @@
 			wait = min(wait, time.Until(c.waiting[0].until))
 		}
 		for _, s := range c.sending { // or to end one
-			if !s.by.IsZero() {
-				wait = min(wait, time.Until(s.by)+time.Millisecond)
+			if by := s.a.Before; !by.IsZero() {
+				wait = min(wait, time.Until(by)+time.Millisecond)
 			}
 		}
 		if leave {
@@ -448,7 +447,8 @@
 		moved = false
 		for i := 0; i < len(c.sending) && c.out.Len() < outHigh; i++ {
 			s := c.sending[i]
-			if !s.by.IsZero() && now.After(s.by) { // the window of its key: its last byte must not go out any more
+			// The window of its key: its last byte must not go out any more.
+			if by := s.a.Before; !by.IsZero() && now.After(by) {
 				c.reset(s, http2.ErrCodeCancel)
 				c.forget(s)
 				dropped = append(dropped, s)
@@ -479,7 +479,7 @@
 }
 
 func late(s *stream, now time.Time) bool {
-	return s.a.Query.Over() || !now.Before(s.until) || !s.by.IsZero() && !now.Before(s.by)
+	return s.a.Query.Over() || !now.Before(s.until) || !s.a.Before.IsZero() && !now.Before(s.a.Before)
 }
 
 // writeHead begins a call; the caller holds mu.
--- a/internal/grpcnode/grpcnode_test.go
+++ b/internal/grpcnode/grpcnode_test.go
@@ -173,11 +173,10 @@
 	r.n++
 	a := &core.Attempt{Query: &core.Query{Name: fmt.Sprint("q", r.n), Text: []byte(strings.Repeat("x", size)),
 		Parts: []core.PartSpec{{Shard: 1}}}, Shard: 1, Replica: core.ServerID("a"), Timeout: timeout}
-	at := time.Time{}
 	if len(by) > 0 {
-		at = by[0]
+		a.Before = by[0]
 	}
-	r.b.SendBy(a.Replica, a, at)
+	r.b.Send(a.Replica, []*core.Attempt{a})
 	return a
 }
 
--- a/internal/kiosk/router.go
+++ b/internal/kiosk/router.go
@@ -85,7 +85,6 @@
 	r.mu.Lock()
 	form := r.forms[to]
 	var f flight
-	var by time.Time
 	if form != "" && r.guard != nil && a.Query.Rules.Effect == balance.Keyed {
 		v, token, until := r.guard.Ask(now, a.Query.Key, a.Shard, r.domain(form), a.Query.Rules.Window)
 		if v == translate.Allowed && form == OldForm && until-now < (r.dial+oldSlack).Microseconds() {
@@ -102,15 +101,15 @@
 			r.never(a, balance.NotSent)
 			return
 		}
-		f.token, by = token, r.epoch.Add(time.Duration(until)*time.Microsecond)
+		f.token = token
+		// Whoever writes it looks at the clock then: it may wait behind others for longer than thought here.
+		if by := r.epoch.Add(time.Duration(until) * time.Microsecond); a.Before.IsZero() || by.Before(a.Before) {
+			a.Before = by
+		}
 	}
 	switch form {
 	case OldForm:
 		f.via = r.old
-		// Whoever writes it looks at the clock then: it may wait behind others for longer than thought here.
-		if !by.IsZero() && (a.Before.IsZero() || by.Before(a.Before)) {
-			a.Before = by
-		}
 	case NewForm:
 		f.via = r.anew
 	default:
@@ -120,9 +119,7 @@
 	}
 	r.out[a] = f
 	r.mu.Unlock()
-	if form == NewForm {
-		r.anew.SendBy(to, a, by)
-	} else if !r.old.Send(to, []*core.Attempt{a}) {
+	if !f.via.Send(to, []*core.Attempt{a}) {
 		r.never(a, balance.NoConnection)
 	}
 }
