Wait for discovery's word in one place at a start, and share steps of the watch's and the upgrade's tests

prepare had two waits for the same word that differed in their limit. Three tests wrote getsNothing again or read a script's calls under its lock by hand, four waited for the upgrade's socket in the same words. getsNothing now also wants each answer to be a 200; the assertions of the tests stay.

--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -269,11 +269,7 @@
 		t.Fatalf("%q", got)
 	}
 	// The list is queued before the next watch is sent, and queries come after it.
-	for range 20 {
-		if r := post(t, k, "rate-check", 0); r.Status != 200 {
-			t.Fatalf("%d %s", r.Status, r.Body)
-		}
-	}
+	getsNothing(t, k, a)
 	if n := len(a.Parts()); n != 0 {
 		t.Fatalf("%d parts went to a node that drains", n)
 	}
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -236,22 +236,23 @@
 	}
 	// Where the list is pushed, what the agent has counts as told from the first moment, and what was known
 	// before the start may be old: a client is better served after discovery's own word, if that comes soon.
-	if !beside && k.cfg.Discovery != "" && !k.cfg.Module.Subscribe {
+	wait := time.Duration(0)
+	switch {
+	case beside:
+		wait = listWait
+	case k.cfg.Discovery != "" && !k.cfg.Module.Subscribe:
+		wait = firstWord
+	}
+	if wait > 0 {
 		select {
 		case <-k.watcher.whole:
-		case <-time.After(firstWord):
+		case <-time.After(wait):
+			k.log.Warn("starting without discovery's word", "beside", beside)
 		case <-k.stop:
 			return
 		}
 	}
 	if beside {
-		select {
-		case <-k.watcher.whole:
-		case <-time.After(listWait):
-			k.log.Warn("taking over without discovery's word")
-		case <-k.stop:
-			return
-		}
 		k.core.Cordoned(linkWait) // behind the list in the core's queue: once it is back, that is taken in
 	}
 	k.upgrade.ready()
--- a/internal/platform/upgrade_test.go
+++ b/internal/platform/upgrade_test.go
@@ -27,6 +27,15 @@
 	return c
 }
 
+// askable waits until a successor can ask the process that serves.
+func askable(t *testing.T, cfg *Config) {
+	t.Helper()
+	standin.Until(t, "the socket to ask at", func() bool {
+		_, err := os.Lstat(socketPath(cfg))
+		return err == nil
+	})
+}
+
 // kept asks on a connection that stays, and tells whether it may be used again.
 func kept(t *testing.T, c *lnet.Client, name string) bool {
 	t.Helper()
@@ -46,10 +55,7 @@
 	cfg := together(t, door(t, d))
 	cfg.PeerListen, cfg.Peers = "127.0.0.1:0", []string{"127.0.0.1:1", "127.0.0.1:2"}
 	old := run(t, cfg)
-	standin.Until(t, "the socket to ask at", func() bool {
-		_, err := os.Lstat(socketPath(cfg))
-		return err == nil
-	})
+	askable(t, cfg)
 	say := func(k *Coordinator, name string) {
 		t.Helper()
 		if r := standin.Call(t, k.Door(), "POST", "/admin/"+name, nil, "a"); r.Status != 200 {
@@ -186,10 +192,7 @@
 	n := standin.NewNode(t, ok)
 	cfg := together(t, config(t, newDiscovery(t, hostAt("a", n.Addr, 0))))
 	old := run(t, cfg)
-	standin.Until(t, "the socket to ask at", func() bool {
-		_, err := os.Lstat(socketPath(cfg))
-		return err == nil
-	})
+	askable(t, cfg)
 	now := *cfg
 	h, _ := inherit(&now, standin.Quiet())
 	if h == nil {
@@ -222,10 +225,7 @@
 func TestDescriptorsAreSharedOut(t *testing.T) {
 	cfg := together(t, config(t, newDiscovery(t, hostAt("a", "127.0.0.1:1", 0))))
 	old := run(t, cfg)
-	standin.Until(t, "the socket to ask at", func() bool {
-		_, err := os.Lstat(socketPath(cfg))
-		return err == nil
-	})
+	askable(t, cfg)
 	u := old.upgrade
 	whole := u.all
 	now := *cfg
@@ -247,10 +247,7 @@
 func TestThreeProcessesShareDescriptors(t *testing.T) {
 	cfg := together(t, config(t, newDiscovery(t, hostAt("a", "127.0.0.1:1", 0))))
 	first := run(t, cfg)
-	standin.Until(t, "the socket to ask at", func() bool {
-		_, err := os.Lstat(socketPath(cfg))
-		return err == nil
-	})
+	askable(t, cfg)
 	follow := func(before *Coordinator) *Coordinator {
 		t.Helper()
 		now := *cfg
--- a/internal/platform/watch_test.go
+++ b/internal/platform/watch_test.go
@@ -61,10 +61,13 @@
 	return d
 }
 
-func (d *scripted) count() int {
+func (d *scripted) count() int { return len(d.queries()) }
+
+// queries are those of the calls so far.
+func (d *scripted) queries() []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return len(d.seen)
+	return append([]string(nil), d.seen...)
 }
 
 // list is an answer's body.
@@ -84,12 +87,14 @@
 	_ = c.Close()
 }
 
-// getsNothing tells that no part goes to a node that drains.
+// getsNothing tells that queries are answered, and no part of them goes to a node that drains.
 func getsNothing(t *testing.T, k *Coordinator, drains *standin.Node) {
 	t.Helper()
 	before := len(drains.Parts())
 	for range 20 {
-		post(t, k, "rate-check", 0)
+		if r := post(t, k, "rate-check", 0); r.Status != 200 {
+			t.Fatalf("%d %s", r.Status, r.Body)
+		}
 	}
 	if n := len(drains.Parts()) - before; n != 0 {
 		t.Fatalf("%d parts went to a node that drains", n)
@@ -233,11 +238,7 @@
 	close(free)
 	standin.Until(t, "readiness", k.front.ready.Load)
 	standin.Until(t, "the list", func() bool { _, open := <-k.watcher.whole; return !open })
-	for range 20 {
-		if r := post(t, k, "rate-check", 0); r.Status != 200 {
-			t.Fatalf("%d %s", r.Status, r.Body)
-		}
-	}
+	getsNothing(t, k, a)
 	if n := len(a.Parts()); n != 0 {
 		t.Fatalf("%d parts went to a node that drains", n)
 	}
@@ -265,9 +266,7 @@
 	k := run(t, config(t, &discovery{addr: d.addr}, `"membershipMode":"automatic"`,
 		`"membershipMode":"subscribe"`))
 	standin.Until(t, "the next call", func() bool { return d.count() >= 4 })
-	d.mu.Lock()
-	seen := append([]string(nil), d.seen...)
-	d.mu.Unlock()
+	seen := d.queries()
 	if seen[2] != "index=1&wait=2500" || seen[3] != "index=2&wait=2500" {
 		t.Fatalf("%q", seen)
 	}
@@ -294,9 +293,7 @@
 	c.Known = &hostList{Seq: 0, Whole: true, Hosts: both}
 	k := run(t, c)
 	standin.Until(t, "the next call", func() bool { return d.count() >= 2 })
-	d.mu.Lock()
-	seen := append([]string(nil), d.seen...)
-	d.mu.Unlock()
+	seen := d.queries()
 	if seen[0] != "index=0&wait=2500" || seen[1] != "index=1&wait=2500" {
 		t.Fatalf("%q", seen)
 	}
