--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -54,6 +54,8 @@
 	Roster bool     // the members' names, instead of Most
 	Edit   []string // changes of Settings: old and new text in turn
 	Out    *History
+	// Faults befall the members' system calls from the start of each process on; nil: none. PID is set here.
+	Faults *SyscallFaults
 }
 
 // mostMembers is more than a rig ever has.
@@ -494,6 +496,9 @@
 	if m.rig.cfg.Alone {
 		args = args[:1]
 	}
+	if m.rig.cfg.Faults != nil {
+		return StartTraced(m.rig.program, args, env, m.LogPath(), *m.rig.cfg.Faults)
+	}
 	return Start(m.rig.program, args, env, m.LogPath())
 }
 
--- a/internal/rig/smoke_test.go
+++ b/internal/rig/smoke_test.go
@@ -13,6 +13,7 @@
 )
 
 func TestMain(m *testing.M) {
+	RunHelper()
 	code := m.Run()
 	Clean()
 	os.Exit(code)
--- /dev/null
+++ b/internal/rig/syscalls.go
@@ -0,0 +1,323 @@
+package rig
+
+// System call faults: a tracer (ptrace) holds single threads of the program at the entry of a write, shortens
+// reads and writes, and has calls fail as their manual pages say. The tracer is a process beside the caller's, as
+// whoever traces is also told of the end of what it traces. The program is started by way of this test's own
+// executable, which sets a filter (seccomp) on itself that has the calls in question stop, and then becomes the
+// program: all other calls run at full speed.
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"runtime"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+	"unsafe"
+
+	"golang.org/x/sys/unix"
+)
+
+// SyscallFaults says what befalls the system calls of one process.
+type SyscallFaults struct {
+	PID  int    `json:"pid"`
+	Seed uint64 `json:"seed"`
+	// HoldShare is the share of writes of a call to a data node whose thread is held before the write.
+	HoldShare float64       `json:"hold_share"`
+	HoldLeast time.Duration `json:"hold_least"`
+	HoldMost  time.Duration `json:"hold_most"`
+	// ShortShare is the share of reads and writes on which only a part of the bytes is moved.
+	ShortShare float64        `json:"short_share"`
+	Errors     []SyscallError `json:"errors"`
+}
+
+// SyscallError has a share of the calls of one number fail, without being made.
+type SyscallError struct {
+	Number uint64        `json:"number"`
+	Errno  syscall.Errno `json:"errno"`
+	Share  float64       `json:"share"`
+}
+
+// These variables make a process of this program's tests a tracer, or one that becomes the program.
+const (
+	tracerEnv  = "LAPISLEVER_RIG_TRACER"
+	programEnv = "LAPISLEVER_RIG_PROGRAM"
+)
+
+const (
+	tracerReady = "tracing\n"
+	tracerWait  = 10 * time.Second
+)
+
+// StartTraced starts the program with faults in its system calls. The tracer ends with it.
+func StartTraced(path string, args, env []string, log string, faults SyscallFaults) (*Proc, error) {
+	self, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	p, err := Start(self, args, append(env, programEnv+"="+path), log)
+	if err != nil {
+		return nil, err
+	}
+	faults.PID = p.cmd.Process.Pid
+	if err := startTracer(self, faults); err != nil {
+		p.Kill()
+		return nil, err
+	}
+	return p, nil
+}
+
+// startTracer returns once the process is traced.
+func startTracer(self string, faults SyscallFaults) error {
+	plan, err := json.Marshal(faults)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(self)
+	cmd.Env = append(os.Environ(), tracerEnv+"="+string(plan))
+	cmd.Stderr = os.Stderr
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return err
+	}
+	onStarter(func() { err = cmd.Start() })
+	if err != nil {
+		return err
+	}
+	word := make([]byte, len(tracerReady))
+	_, err = io.ReadFull(out, word)
+	go func() { _ = cmd.Wait() }()
+	if err != nil {
+		return fmt.Errorf("the tracer did not start: %w", err)
+	}
+	return nil
+}
+
+// RunHelper does what this process was started for, where that is to trace or to become the program, and does
+// not return then. TestMain calls it first.
+func RunHelper() {
+	var err error
+	switch plan, program := os.Getenv(tracerEnv), os.Getenv(programEnv); {
+	case plan != "":
+		err = runTracer(plan)
+	case program != "":
+		err = becomeTraced(program)
+	default:
+		return
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "rig:", err)
+		os.Exit(1)
+	}
+	os.Exit(0)
+}
+
+func runTracer(plan string) error {
+	t := &tracer{held: map[int]time.Time{}}
+	if err := json.Unmarshal([]byte(plan), &t.plan); err != nil {
+		return err
+	}
+	runtime.LockOSThread()
+	t.random = rand.New(rand.NewPCG(t.plan.Seed, 9))
+	return t.run()
+}
+
+// becomeTraced waits for the tracer, has the calls that it looks at stop from now on, and becomes the program.
+func becomeTraced(program string) error {
+	runtime.LockOSThread()
+	for end := time.Now().Add(tracerWait); !isTraced(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			return errors.New("no tracer came")
+		}
+	}
+	if err := stopCalls(unix.SYS_READ, unix.SYS_WRITE, unix.SYS_SOCKET, unix.SYS_CONNECT,
+		unix.SYS_ACCEPT4); err != nil {
+		return err
+	}
+	return syscall.Exec(program, append([]string{program}, os.Args[1:]...), os.Environ())
+}
+
+func isTraced() bool {
+	status, err := os.ReadFile("/proc/thread-self/status")
+	return err == nil && !strings.Contains(string(status), "TracerPid:\t0\n")
+}
+
+// stopCalls has the tracer see these calls of this thread, and of the program that it becomes.
+func stopCalls(numbers ...uint32) error {
+	filter := []unix.SockFilter{{Code: unix.BPF_LD | unix.BPF_W | unix.BPF_ABS}} // the number comes first
+	for i, n := range numbers {
+		filter = append(filter, unix.SockFilter{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, K: n,
+			Jt: uint8(len(numbers) - i)})
+	}
+	filter = append(filter, unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K, K: unix.SECCOMP_RET_ALLOW},
+		unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K, K: unix.SECCOMP_RET_TRACE})
+	program := unix.SockFprog{Len: uint16(len(filter)), Filter: &filter[0]}
+	if err := unix.Prctl(unix.PR_SET_NO_NEW_PRIVS, 1, 0, 0, 0); err != nil {
+		return fmt.Errorf("no new privileges: %w", err)
+	}
+	if _, _, errno := unix.Syscall(unix.SYS_SECCOMP, unix.SECCOMP_SET_MODE_FILTER, 0,
+		uintptr(unsafe.Pointer(&program))); errno != 0 {
+		return fmt.Errorf("filter: %w", errno)
+	}
+	return nil
+}
+
+// tracer is the tracing process; only its locked thread may ask the kernel about the threads that it traces.
+type tracer struct {
+	plan   SyscallFaults
+	random *rand.Rand
+	held   map[int]time.Time // threads, and when they are to go on
+}
+
+const (
+	ptraceGetSyscallInfo = 0x420e
+	ptraceListen         = 0x4208
+	eventStop            = 128
+	tracerPause          = 50 * time.Microsecond
+	tracerOptions        = unix.PTRACE_O_TRACESECCOMP | unix.PTRACE_O_TRACECLONE | unix.PTRACE_O_EXITKILL
+)
+
+// syscallInfo is the kernel's struct ptrace_syscall_info, of a call that a filter stops.
+type syscallInfo struct {
+	op      uint8
+	_       [3]byte
+	arch    uint32
+	ip, sp  uint64
+	number  uint64
+	args    [6]uint64
+	padding [2]uint64
+}
+
+// seize begins to trace all threads; those that are started later follow by themselves.
+func (t *tracer) seize() error {
+	seen := map[int]bool{}
+	for found := true; found; {
+		found = false
+		list, err := os.ReadDir(fmt.Sprintf("/proc/%d/task", t.plan.PID))
+		if err != nil {
+			return err
+		}
+		for _, e := range list {
+			tid, err := strconv.Atoi(e.Name())
+			if err != nil || seen[tid] {
+				continue
+			}
+			seen[tid], found = true, true
+			_, _, errno := unix.Syscall6(unix.SYS_PTRACE, unix.PTRACE_SEIZE, uintptr(tid), 0, tracerOptions, 0, 0)
+			// One that is traced already is a child of another one, or it has ended.
+			if errno != 0 && errno != unix.EPERM && errno != unix.ESRCH {
+				return fmt.Errorf("seize: %w", errno)
+			}
+		}
+	}
+	return nil
+}
+
+// run traces until the process ends.
+func (t *tracer) run() error {
+	if err := t.seize(); err != nil {
+		return err
+	}
+	fmt.Print(tracerReady)
+	for {
+		var status unix.WaitStatus
+		tid, err := unix.Wait4(-1, &status, unix.WNOHANG|unix.WALL, nil)
+		switch {
+		case errors.Is(err, unix.ECHILD):
+			return nil
+		case errors.Is(err, unix.EINTR):
+		case err != nil:
+			return fmt.Errorf("wait: %w", err)
+		case tid == 0:
+			time.Sleep(tracerPause)
+		default:
+			t.stopped(tid, status)
+		}
+		t.release(time.Now())
+	}
+}
+
+// release lets threads go on whose time has come.
+func (t *tracer) release(now time.Time) {
+	for tid, until := range t.held {
+		if !now.Before(until) {
+			delete(t.held, tid)
+			_ = unix.PtraceCont(tid, 0)
+		}
+	}
+}
+
+// stopped takes in why a thread has stopped and lets it go on, unless it is to be held.
+func (t *tracer) stopped(tid int, status unix.WaitStatus) {
+	if !status.Stopped() {
+		delete(t.held, tid)
+		return
+	}
+	event := int(uint32(status)>>16) & 0xff
+	signal := 0
+	switch {
+	case event == unix.PTRACE_EVENT_SECCOMP:
+		if hold := t.call(tid); hold > 0 {
+			t.held[tid] = time.Now().Add(hold)
+			return
+		}
+	case event == eventStop && status.StopSignal() != unix.SIGTRAP: // stopped by a signal, as a whole
+		_, _, _ = unix.Syscall6(unix.SYS_PTRACE, ptraceListen, uintptr(tid), 0, 0, 0, 0)
+		return
+	case event == 0:
+		signal = int(status.StopSignal())
+	}
+	_ = unix.PtraceCont(tid, signal)
+}
+
+// call decides on a call that a thread is about to make, and returns how long the thread is to be held.
+func (t *tracer) call(tid int) (hold time.Duration) {
+	var info syscallInfo
+	_, _, errno := unix.Syscall6(unix.SYS_PTRACE, ptraceGetSyscallInfo, uintptr(tid), unsafe.Sizeof(info),
+		uintptr(unsafe.Pointer(&info)), 0, 0)
+	if errno != 0 {
+		return 0
+	}
+	for _, e := range t.plan.Errors {
+		if info.number == e.Number && t.random.Float64() < e.Share {
+			t.edit(tid, func(r *unix.PtraceRegs) { r.Orig_rax, r.Rax = ^uint64(0), uint64(-int64(e.Errno)) })
+			return 0
+		}
+	}
+	moves := info.number == unix.SYS_WRITE || info.number == unix.SYS_READ
+	if moves && info.args[2] > 1 && t.random.Float64() < t.plan.ShortShare {
+		t.edit(tid, func(r *unix.PtraceRegs) { r.Rdx = 1 + t.random.Uint64N(r.Rdx-1) })
+	}
+	if info.number != unix.SYS_WRITE || t.plan.HoldShare == 0 || !t.isCall(info) ||
+		t.random.Float64() >= t.plan.HoldShare {
+		return 0
+	}
+	spread := int64(max(1, t.plan.HoldMost-t.plan.HoldLeast))
+	return t.plan.HoldLeast + time.Duration(t.random.Int64N(spread))
+}
+
+// edit changes a stopped thread's registers.
+func (t *tracer) edit(tid int, change func(*unix.PtraceRegs)) {
+	var r unix.PtraceRegs
+	if unix.PtraceGetRegs(tid, &r) == nil {
+		change(&r)
+		_ = unix.PtraceSetRegs(tid, &r)
+	}
+}
+
+// isCall tells that a write is one frame with a call for a data node.
+func (t *tracer) isCall(info syscallInfo) bool {
+	var head [5]byte
+	local := []unix.Iovec{{Base: &head[0], Len: uint64(len(head))}}
+	remote := []unix.RemoteIovec{{Base: uintptr(info.args[1]), Len: len(head)}}
+	n, err := unix.ProcessVMReadv(t.plan.PID, local, remote, 0)
+	size := uint64(head[0]) | uint64(head[1])<<8 | uint64(head[2])<<16 | uint64(head[3])<<24
+	return err == nil && n == len(head) && head[4] == '1' && size+4 == info.args[2]
+}
