Log why requests are refused, failed or abandoned, with their attempts

Need: the incident's logs name no request id, no retry and no close, so the late writes could not be tied to what the coordinator had decided.

Change: one line for each request that is not answered (id, class, how, why, age, time left, every attempt with begin, end and outcome); the module names its reason for a refusal; connections to nodes tell every close that is not idle, clients' ones those to make way, replies that could not be written, and clients that left; changes of nodes' states.

--- a/balance/api.go
+++ b/balance/api.go
@@ -164,6 +164,16 @@
 // Outcome is how an attempt or a probe ended.
 type Outcome uint8
 
+// String is the outcome's name in the log.
+func (o Outcome) String() string {
+	names := [...]string{Error: "error", OK: "ok", Busy: "busy", TimedOut: "timed out", NoConnection: "no connection",
+		Reset: "reset", Cancelled: "cancelled", NotSent: "not sent", Spoilt: "spoilt"}
+	if int(o) < len(names) {
+		return names[o]
+	}
+	return "unknown"
+}
+
 // The outcomes of an attempt. NotSent, Full and NoConnection prove that it never ran.
 const (
 	Error        Outcome = iota // the replica answered with an error
@@ -265,5 +275,12 @@
 	To      uint32
 }
 
+// Why a query is refused or failed, as the Text of a Refuse or a Fail, for the log.
+const (
+	WhyLate      = "no time is left"
+	WhyOverload  = "overload: not expected in time"
+	WhyExhausted = "no replica is left to try"
+)
+
 // AllPeers addresses a Tell to every peer.
 const AllPeers = ^uint32(0)
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -584,7 +584,7 @@
 
 // giveUp gives the final answer of a query that cannot be served in full: what is in where that is enough,
 // else a refusal where nothing may have run or a repeat is safe, else a failure.
-func (b *Balancer) giveUp(q *query) {
+func (b *Balancer) giveUp(q *query, why string) {
 	_, floor := b.shares(q)
 	if q.got >= floor && q.in > 0 {
 		b.answer(q)
@@ -599,7 +599,7 @@
 			safe = safe && p.ran == 0 && !p.done
 		}
 	}
-	a := Action{Kind: Fail, ID: q.id}
+	a := Action{Kind: Fail, ID: q.id, Text: why}
 	if safe {
 		a.Kind = Refuse
 		if b.s.CanAdvise {
@@ -619,7 +619,7 @@
 		return
 	case b.now+max(sweep, b.s.Tick) >= q.deadline,
 		b.now >= q.aim && q.got < floor && !b.worthLate(q, floor):
-		b.giveUp(q)
+		b.giveUp(q, WhyLate)
 		return
 	case q.in > 0 && q.got >= floor && b.now >= b.partialAt(q):
 		b.answer(q)
@@ -630,7 +630,7 @@
 			if b.refused++; b.denied == 0 {
 				b.denied = b.now
 			}
-			b.giveUp(q)
+			b.giveUp(q, WhyOverload)
 			return
 		}
 		q.admitted = true
@@ -651,7 +651,7 @@
 		}
 	}
 	if len(q.parts) > 0 && hope < floor {
-		b.giveUp(q)
+		b.giveUp(q, WhyExhausted)
 		return
 	}
 	if b.s.CallCost > 0 && b.s.BatchMax > 1 {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -95,6 +95,7 @@
 	number   float32
 	parts    []*part
 	open     bool
+	began    balance.Micros // when the core took it
 	deadline balance.Micros
 	over     atomic.Bool // it has its final answer, or its client has left: nothing of it begins any more
 }
@@ -180,6 +181,9 @@
 	number int
 	sent   balance.Micros
 	over   bool
+	// Of one that is over:
+	ended   balance.Micros
+	outcome balance.Outcome
 }
 
 // MayBegin tells whether an attempt may begin at this moment, and how long the core will wait for it from
@@ -651,6 +655,7 @@
 	case Gone:
 		if e.Query.open {
 			c.events = append(c.events, balance.Event{Kind: balance.ClientGone, ID: e.Query.id})
+			c.logEnd(e.Query, "abandoned", "its client has left")
 			c.end(e.Query)
 			c.left(e.Query, Failed)
 		}
@@ -864,14 +869,16 @@
 		return
 	}
 	if c.names[q.Name] != nil { // its parts could not be told from those of the other one
+		c.logEnd(q, Failed.String(), "an open query bears the same name")
 		c.reply(q, Final{Ending: Failed, NameTaken: true})
 		return
 	}
 	if most := c.cfg.Settings.MaxOpen; most > 0 && c.held+1+len(q.Parts) > most {
+		c.logEnd(q, Refused.String(), "too many queries are open")
 		c.reply(q, Final{Ending: Refused, RetryAfter: fullAdvice})
 		return
 	}
-	q.open, q.deadline = true, c.clock(q.Deadline)
+	q.open, q.deadline, q.began = true, c.clock(q.Deadline), c.clock(time.Now())
 	for c.nextNum++; c.numbers[float32(c.nextNum%numberLimit)]; c.nextNum++ {
 	}
 	q.number = float32(c.nextNum % numberLimit)
@@ -919,7 +926,7 @@
 	if a.over {
 		return
 	}
-	a.over = true
+	a.over, a.ended, a.outcome = true, c.now, o
 	if a.passed {
 		c.cfg.Gate.Over(a)
 	}
@@ -979,6 +986,7 @@
 	}
 	for _, q := range overdue {
 		if q.open {
+			c.logEnd(q, Failed.String(), "no decision in time")
 			c.cfg.Log.Error("query ended without a decision", "query", q.Name)
 			c.events = append(c.events, balance.Event{Kind: balance.ClientGone, ID: q.id})
 			c.final(q, Final{Ending: Failed, Overdue: true})
@@ -1032,6 +1040,7 @@
 				if a.Kind == balance.Refuse {
 					f = Final{Ending: Refused, RetryAfter: time.Duration(a.After) * time.Microsecond}
 				}
+				c.logEnd(q, f.Ending.String(), a.Text)
 				c.final(q, f)
 			}
 		case balance.Probe:
--- /dev/null
+++ b/internal/core/requestlog.go
@@ -0,0 +1,54 @@
+package core
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"strings"
+	"time"
+
+	"lapislever/balance"
+)
+
+// String is the ending's name in the log.
+func (e Ending) String() string {
+	switch e {
+	case Answered:
+		return "answered"
+	case Refused:
+		return "refused"
+	}
+	return "failed"
+}
+
+// logEnd logs how a query that was not answered ended and why, with all its attempts: one line tells each retry
+// and what came before it.
+func (c *Core) logEnd(q *Query, how, why string) {
+	if !c.cfg.Log.Enabled(context.Background(), slog.LevelInfo) {
+		return
+	}
+	age, left := time.Duration(0), time.Duration(0)
+	if now := c.clock(time.Now()); q.open {
+		age, left = micros(now-q.began), micros(q.deadline-now)
+	}
+	c.cfg.Log.Info("request ended", "query", q.Name, "class", q.Class, "how", how, "why", why, "age", age,
+		"left", left, "attempts", attemptsText(q))
+}
+
+// attemptsText lists a query's attempts as shard, replica, and when each began and ended how, in ms of the
+// query's age.
+func attemptsText(q *Query) string {
+	var text strings.Builder
+	for _, p := range q.parts {
+		for _, a := range p.tries {
+			fmt.Fprintf(&text, "%d>%x@%d", a.Shard, uint64(a.Replica), micros(a.sent-q.began).Milliseconds())
+			if a.over {
+				fmt.Fprintf(&text, "-%d:%s", micros(a.ended-q.began).Milliseconds(), a.outcome)
+			}
+			text.WriteString("; ")
+		}
+	}
+	return text.String()
+}
+
+func micros(m balance.Micros) time.Duration { return time.Duration(m) * time.Microsecond }
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -549,6 +549,8 @@
 	if spared == nil || !spared.spare() {
 		return false
 	}
+	s.log.Info("connection closed to make way", "client", spared.c.RemoteAddr(), "use", int(worst),
+		"since", time.Since(since))
 	delete(s.conns, spared)
 	spared.giveBack()
 	return true
@@ -914,6 +916,7 @@
 			return
 		}
 		if errors.Is(err, errRest) {
+			c.s.log.Debug("connection at rest ended", "client", c.c.RemoteAddr(), "closing", c.s.closing.Load())
 			c.linger()
 		}
 		if err != nil {
@@ -924,7 +927,9 @@
 			return
 		}
 		end := req.Close || resp.Close || c.s.closing.Load() || !c.held || c.turned
-		if c.write(resp, end, req.Method == "HEAD") != nil {
+		if err := c.write(resp, end, req.Method == "HEAD"); err != nil {
+			c.s.log.Info("reply not written", "client", c.c.RemoteAddr(), "path", req.Path, "status", resp.Status,
+				"err", err)
 			return
 		}
 		if end {
@@ -968,6 +973,8 @@
 			if err == nil {
 				continue
 			}
+			c.s.log.Info("client left with a request out", "client", c.c.RemoteAddr(), "path", req.Path,
+				"query", req.Header.Get("X-Call-Id"), "after", time.Since(req.At), "err", err)
 			if gone != nil {
 				gone()
 			}
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -6,6 +6,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -57,13 +58,16 @@
 }
 
 type node struct {
-	id    balance.ReplicaID
-	name  string
-	addr  string
-	born  float64
-	gone  bool // from the list: forgotten with its last connection
-	conns []*nodeConn
-	took  latency
+	id   balance.ReplicaID
+	name string
+	addr string
+	born float64
+	gone bool // from the list: forgotten with its last connection
+	// unnamed is set while a whole list is read that has not named it so far.
+	unnamed bool
+	health  string // as the list last told
+	conns   []*nodeConn
+	took    latency
 }
 
 // latency follows how long a node's answers take, as TCP does its round trips.
@@ -189,8 +193,11 @@
 func (n *Nodes) Learn(hosts []Host, whole bool) {
 	n.mu.Lock()
 	var anew, idle []*nodeConn
+	first := len(n.nodes) == 0
 	for _, x := range n.nodes {
-		x.gone = x.gone || whole
+		if whole && !x.gone {
+			x.gone, x.unnamed = true, true
+		}
 	}
 	for i := range hosts {
 		h := &hosts[i]
@@ -200,7 +207,14 @@
 			x = &node{id: id, name: h.Host}
 			n.nodes[id] = x
 		}
-		x.gone = h.Health == "terminated"
+		if x.unnamed {
+			x.gone, x.unnamed = false, false
+		}
+		if gone := h.Health == "terminated"; gone != x.gone || h.Health != x.health || h.Born > x.born {
+			n.log.Log(context.Background(), levelOfNews(first), "data node", "node", h.Host,
+				"id", fmt.Sprintf("%x", uint64(id)), "health", h.Health, "born_ms", h.Born)
+			x.gone, x.health = gone, h.Health
+		}
 		if h.Born > x.born || h.Dial != x.addr {
 			// Another process is there now: what the old one had will not be answered.
 			for _, c := range x.conns {
@@ -212,6 +226,10 @@
 		x.addr, x.born = h.Dial, max(x.born, h.Born)
 	}
 	for id, x := range n.nodes {
+		if x.unnamed {
+			x.unnamed = false
+			n.log.Info("data node", "node", x.name, "health", "not listed any more")
+		}
 		if x.gone {
 			idle = append(idle, x.conns...)
 			if len(x.conns) == 0 {
@@ -228,6 +246,14 @@
 	}
 }
 
+// levelOfNews is how much a node's state matters to the log: those of a start's first list matter less.
+func levelOfNews(first bool) slog.Level {
+	if first {
+		return slog.LevelDebug
+	}
+	return slog.LevelInfo
+}
+
 // Name is a node's name by its number; false: there is none.
 func (n *Nodes) Name(id balance.ReplicaID) (string, bool) {
 	n.mu.Lock()
@@ -672,9 +698,9 @@
 		_ = conn.Close()
 	}
 	c.n.budget.Release()
-	if err != nil && len(waiting) > 0 {
-		c.n.log.Debug("connection to a node ended", "node", c.node.name, "up", up, "parts", len(waiting),
-			"err", err)
+	if err != nil {
+		c.n.log.Info("connection to a node ended", "node", c.node.name, "up", up, "parts", len(waiting),
+			"age", time.Since(c.opened), "err", err)
 	}
 	for _, a := range waiting {
 		o := whole
