Order an attempt's first byte before the end of its request

Cause: a writer checked whether an attempt may begin and made its system call some steps later (reads of clocks, a deadline, a lock). Held up in between, it put out the first byte 0.2 to 0.6 s after the core had ended the request. A second way: closing a connection does not stop a write whose thread is already in the call; the descriptor is kept until that returns, and the bytes still go out.

Change: a query has a barrier (internal/core/writebarrier.go). A writer enters it with its last check, makes the system call at once and leaves; the end of the query closes it, and the answer is given behind the writes under way. Frames are encoded anew for each try, so that the time they tell and the check are of that moment; connections are shut down before they are closed. The same for streams of gRPC and range queries, for what is given up, for drains and for the window of a key. The client's socket itself is asked whether it has left.

--- a/internal/ajp/server.go
+++ b/internal/ajp/server.go
@@ -331,7 +331,7 @@
 	}
 	r.At = time.Now()
 	c.s.last.Store(r.At.UnixNano())
-	x, reply := lnet.NewExchange()
+	x, reply := lnet.NewExchange(c.c)
 	gone := c.s.handle(r, x)
 	leave := func(err error) error {
 		if gone != nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -59,7 +59,7 @@
 	NameTaken  bool          // an open query bears the same name
 }
 
-// Client hears the final answer of its query, exactly once, and must not block.
+// Client hears the final answer of its query, exactly once, from any goroutine, and must not block.
 type Client interface {
 	Final(Final)
 }
@@ -89,6 +89,9 @@
 	Data     any     // what the front and its backend share
 	Caller   string  // who asks, by the name that limits know; empty: nobody has said
 	Ticket   any     // the gate's
+	// ClientLeft looks whether the client's connection has been closed by it, without waiting. Nil: nobody can
+	// tell.
+	ClientLeft func() bool
 
 	admitted bool
 	id       uint32
@@ -97,11 +100,11 @@
 	open     bool
 	began    balance.Micros // when the core took it
 	deadline balance.Micros
-	over     atomic.Bool // it has its final answer, or its client has left: nothing of it begins any more
+	writes   writeBarrier // closed once it has its final answer or its client has left
 }
 
 // Over tells that the query has its final answer, or that its client has left: nothing of it may begin.
-func (q *Query) Over() bool { return q.over.Load() }
+func (q *Query) Over() bool { return q.writes.closed.Load() }
 
 type part struct {
 	q     *Query
@@ -166,37 +169,6 @@
 	return balance.ReplicaID(h.Sum64())
 }
 
-// Attempt is one send of a part. Backends keep the pointer and hand it back with the outcome.
-type Attempt struct {
-	Query   *Query
-	Shard   int
-	Replica balance.ReplicaID
-	Timeout time.Duration // how long the core will wait
-	Until   time.Time     // and up to when
-	Before  time.Time     // it must not begin later, as its key is forgotten then; zero: it may
-	Ticket  any           // the gate's
-
-	passed bool // by the gate
-	p      *part
-	number int
-	sent   balance.Micros
-	over   bool
-	// Of one that is over:
-	ended   balance.Micros
-	outcome balance.Outcome
-}
-
-// MayBegin tells whether an attempt may begin at this moment, and how long the core will wait for it from
-// there. Whoever writes its first byte asks then: between the module's decision and that moment it may have
-// waited for a connection, its client may have left, and the window for repeats may have closed.
-func (a *Attempt) MayBegin(now time.Time) (wait time.Duration, may bool) {
-	wait = a.Until.Sub(now)
-	return wait, wait > 0 && !a.Query.Over() && (a.Before.IsZero() || !now.After(a.Before))
-}
-
-// First tells that the attempt is the first of its part.
-func (a *Attempt) First() bool { return a.number == 0 }
-
 // Backend takes attempts to servers. The core's goroutine calls it: no method may block, none may queue an
 // event from inside the call.
 type Backend interface {
@@ -444,7 +416,7 @@
 // Leave tells that the client of a query has left. From here on no attempt of it begins, also where the queue
 // is long.
 func (c *Core) Leave(q *Query) {
-	q.over.Store(true)
+	q.writes.close(nil)
 	c.Post(Gone{Query: q})
 }
 
@@ -656,6 +628,7 @@
 		if e.Query.open {
 			c.events = append(c.events, balance.Event{Kind: balance.ClientGone, ID: e.Query.id})
 			c.logEnd(e.Query, "abandoned", "its client has left")
+			e.Query.writes.close(nil)
 			c.end(e.Query)
 			c.left(e.Query, Failed)
 		}
@@ -864,7 +837,7 @@
 
 // begin takes a query and gives the module what it needs to know of it.
 func (c *Core) begin(q *Query) {
-	if q.over.Load() { // its client left while it was queued
+	if q.Over() { // its client left while it was queued
 		c.left(q, Failed)
 		return
 	}
@@ -1152,11 +1125,13 @@
 	c.reply(q, f)
 }
 
-// reply hands out the final answer of a query that is not open, or not any more.
+// reply hands out the final answer of a query that is not open, or not any more. The client hears it once no
+// write can put out the first byte of an attempt any more: what is sent on for a request that has its answer
+// is a request lost, however long a writer's thread is held up.
 func (c *Core) reply(q *Query, f Final) {
 	c.left(q, f.Ending)
 	f.RetryAfter = c.Advise(f.RetryAfter)
-	q.Client.Final(f)
+	q.writes.close(func() { q.Client.Final(f) })
 }
 
 // left books that a query that was submitted is over.
@@ -1171,7 +1146,6 @@
 // end forgets a query. What it still has out is withdrawn by the module or runs into its time-out.
 func (c *Core) end(q *Query) {
 	q.open = false
-	q.over.Store(true)
 	delete(c.queries, q.id)
 	delete(c.names, q.Name)
 	delete(c.numbers, q.number)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -236,20 +236,24 @@
 	if !again.Before.Equal(window) {
 		t.Fatalf("a repeat may begin until %v, its window ends at %v", again.Before, window)
 	}
-	if _, may := again.MayBegin(window); !may {
+	var w abortCounter
+	if _, hold := again.BeginWrite(&w, window); hold != MayBegin {
 		t.Fatal("it may begin up to the end of its window")
 	}
-	if _, may := again.MayBegin(window.Add(time.Microsecond)); may {
+	again.EndWrite(&w)
+	if _, hold := again.BeginWrite(&w, window.Add(time.Microsecond)); hold != HoldWindow {
 		t.Fatal("it began after its window")
 	}
-	if wait, may := first.MayBegin(first.Until.Add(-time.Second)); !may || wait != time.Second {
-		t.Fatalf("%v are left, %v", wait, may)
+	wait, hold := first.BeginWrite(&w, first.Until.Add(-time.Second))
+	if hold != MayBegin || wait != time.Second {
+		t.Fatalf("%v are left, %v", wait, hold)
 	}
-	if _, may := first.MayBegin(first.Until); may {
+	first.EndWrite(&w)
+	if _, hold := first.BeginWrite(&w, first.Until); hold != HoldOverdue {
 		t.Fatal("it began when its time was over")
 	}
 	k.tell(Gone{Query: q})
-	if _, may := again.MayBegin(window); may {
+	if _, hold := again.BeginWrite(&w, window); hold != HoldAnswered {
 		t.Fatal("it began after its client had left")
 	}
 }
--- a/internal/grpcnode/conn.go
+++ b/internal/grpcnode/conn.go
@@ -12,7 +12,9 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"math"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -47,9 +49,13 @@
 	ended  bool // the last frame is in the ring
 	whole  bool // and its last byte was written
 	begun  bool // a reply's first head came
-	reply  []byte
-	status int // of HTTP
-	wrote  time.Time
+	// opens is the place in the output at which its first byte stands; entered tells that its write has begun and
+	// not ended (core.Attempt.BeginWrite).
+	opens   uint64
+	entered bool
+	reply   []byte
+	status  int // of HTTP
+	wrote   time.Time
 }
 
 // mark is the place in the output at which a call's last frame ends.
@@ -77,6 +83,8 @@
 	marks    []mark
 	waiting  []*stream // not begun
 	sending  []*stream // begun, and not all in frames
+	opening  []*stream // with their first byte in the ring: it may go out at any moment
+	raw      net.Conn  // the socket, below TLS; set before anything is written
 	streams  map[uint32]*stream
 	of       map[*core.Attempt]*stream
 	nextID   uint32
@@ -188,6 +196,9 @@
 		return false
 	}
 	never := !s.ended
+	if s.entered { // its first byte is in a system call: given up, it is not to come behind what is sent instead
+		c.abortWrite(s, core.WriteGrace)
+	}
 	if s.id != 0 {
 		c.reset(s, http2.ErrCodeCancel)
 	}
@@ -295,7 +306,7 @@
 func (c *conn) dial() (net.Conn, error) {
 	to := c.to
 	raw, err := net.DialTimeout("tcp", to.Address, c.b.cfg.DialTimeout)
-	if err != nil || !to.TLS {
+	if c.raw = raw; err != nil || !to.TLS {
 		return raw, err
 	}
 	t := tls.Client(raw, c.b.keys.Config(to.ServerName))
@@ -327,6 +338,7 @@
 	}
 	c.c = sock
 	c.mu.Unlock()
+	defer c.closeOpening()
 	go c.read(sock)
 	limit := c.b.cfg.Idle
 	born := time.Now()
@@ -334,6 +346,7 @@
 	defer timer.Stop()
 	var buf []byte
 	for {
+		_ = sock.SetWriteDeadline(time.Now().Add(c.b.cfg.WriteLimit))
 		c.mu.Lock()
 		if c.dead {
 			c.mu.Unlock()
@@ -344,7 +357,7 @@
 			c.end(errors.New("the node sent no settings"))
 			return
 		}
-		dropped := c.pump()
+		dropped := c.pump(time.Now())
 		part := c.out.First()
 		buf = append(buf[:0], part...)
 		quiet := c.load() == 0 && len(c.pings) == 0
@@ -380,16 +393,16 @@
 			}
 			continue
 		}
-		_ = sock.SetWriteDeadline(time.Now().Add(c.b.cfg.WriteLimit))
 		n, err := sock.Write(buf)
 		c.mu.Lock()
+		c.written += uint64(n)
+		c.endOpening(c.written)
 		if c.dead {
 			c.mu.Unlock()
 			return
 		}
 		c.writing = false
 		c.out.Discard(n)
-		c.written += uint64(n)
 		for len(c.marks) > 0 && c.marks[0].at <= c.written {
 			s := c.marks[0].s
 			s.whole, s.wrote = true, time.Now()
@@ -405,27 +418,70 @@
 	}
 }
 
+// Abort makes it impossible that the writer puts out another byte.
+func (c *conn) Abort() {
+	c.b.log.Warn("write aborted: its request is over and the writer was held", "node", c.n.name)
+	lnet.Abort(c.raw)
+}
+
+// abortWrite aborts the connection's write if a call's first byte is still not out after the time given; the
+// caller holds mu.
+func (c *conn) abortWrite(s *stream, after time.Duration) {
+	time.AfterFunc(after, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if s.entered && !c.dead {
+			c.Abort()
+		}
+	})
+}
+
+// endOpening ends the writes of the calls whose first byte is out; the caller holds mu.
+func (c *conn) endOpening(written uint64) {
+	c.opening = slices.DeleteFunc(c.opening, func(s *stream) bool {
+		out := s.opens < written
+		if out && s.entered {
+			s.entered = false
+			s.a.EndWrite(c)
+		}
+		return out
+	})
+}
+
+// closeOpening ends those of calls that will never be written, as the writer ends.
+func (c *conn) closeOpening() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.endOpening(math.MaxUint64)
+}
+
 // pump makes frames of what may be sent now, and returns the calls for which it is too late; the caller holds
-// mu.
-func (c *conn) pump() (dropped []*stream) {
+// mu. A call is begun only where nothing else waits to be written, so that its first byte goes out with the
+// next system call: its query's end waits for that.
+func (c *conn) pump(now time.Time) (dropped []*stream) {
 	if !c.settled && !c.retired {
 		return nil
 	}
-	now := time.Now()
 	if c.retired { // what is not begun goes back to the module
 		dropped, c.waiting = c.waiting, nil
 		for _, s := range dropped {
 			delete(c.of, s.a)
 		}
 	}
-	for len(c.waiting) > 0 && len(c.streams) < c.most() && c.out.Len() < outHigh && !c.retired {
+	free := c.out.Len() == 0
+	for free && len(c.waiting) > 0 && len(c.streams) < c.most() && c.out.Len() < outHigh && !c.retired {
 		s := c.waiting[0]
 		c.waiting = c.waiting[1:]
-		if late(s, now) {
+		if !c.mayBegin(s, now) {
 			delete(c.of, s.a)
 			dropped = append(dropped, s)
 			continue
 		}
+		s.opens, s.entered = c.put, true
+		c.opening = append(c.opening, s)
+		if by := s.a.Before; !by.IsZero() {
+			c.abortWrite(s, by.Sub(now)+core.WriteGrace)
+		}
 		s.id, s.window = c.nextID, c.initial
 		c.nextID += 2
 		c.streams[s.id] = s
@@ -478,6 +534,19 @@
 	return dropped
 }
 
+// mayBegin begins the write of a call's first byte, where it may; the caller holds mu.
+func (c *conn) mayBegin(s *stream, now time.Time) bool {
+	hold := core.HoldOverdue
+	if now.Before(s.until) {
+		_, hold = s.a.BeginWrite(c, now)
+	}
+	if hold != core.MayBegin {
+		c.b.log.Info("attempt not begun", "node", c.n.name, "query", s.a.Query.Name, "shard", s.a.Shard,
+			"why", string(hold))
+	}
+	return hold == core.MayBegin
+}
+
 func late(s *stream, now time.Time) bool {
 	return s.a.Query.Over() || !now.Before(s.until) || !s.a.Before.IsZero() && !now.Before(s.a.Before)
 }
@@ -528,11 +597,12 @@
 		return
 	}
 	c.dead, c.retired = true, true
-	sock, all, pings, up, writing := c.c, c.of, c.pings, c.settled, c.writing
+	sock, raw, all, pings, up, writing := c.c, c.raw, c.of, c.pings, c.settled, c.writing
 	c.of, c.pings, c.streams, c.waiting, c.sending, c.marks = nil, nil, nil, nil, nil, nil
 	c.mu.Unlock()
 	c.poke()
 	if sock != nil {
+		lnet.Abort(raw)
 		_ = sock.Close()
 	}
 	c.b.budget.Release()
--- a/internal/grpcnode/grpcnode_test.go
+++ b/internal/grpcnode/grpcnode_test.go
@@ -176,6 +176,7 @@
 	if len(by) > 0 {
 		a.Before = by[0]
 	}
+	a.Until = time.Now().Add(a.Timeout)
 	r.b.Send(a.Replica, []*core.Attempt{a})
 	return a
 }
--- a/internal/kiosk/front.go
+++ b/internal/kiosk/front.go
@@ -327,7 +327,7 @@
 		j.reply(translate.Turn(v), f.core.FullAdvice())
 		return nil
 	}
-	q.Client, q.Data = j, j
+	q.Client, q.Data, q.ClientLeft = j, j, x.ClientLeft
 	if !f.core.Submit(q) {
 		j.Final(core.Final{Ending: core.Refused, RetryAfter: f.core.FullAdvice()})
 		return nil
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -334,14 +334,19 @@
 type Exchange struct {
 	reply chan Response
 	once  atomic.Bool
+	conn  net.Conn // the client's socket
 }
 
-// NewExchange returns an exchange of another carrier's request, and where its reply will come.
-func NewExchange() (*Exchange, <-chan Response) {
-	x := &Exchange{reply: make(chan Response, 1)}
+// NewExchange returns an exchange of a request that came over a socket, and where its reply will come.
+func NewExchange(conn net.Conn) (*Exchange, <-chan Response) {
+	x := &Exchange{reply: make(chan Response, 1), conn: conn}
 	return x, x.reply
 }
 
+// ClientLeft asks the system whether the client has closed its connection: whoever reads from it may not have
+// come to see that yet.
+func (x *Exchange) ClientLeft() bool { return x.conn != nil && PeerLeft(x.conn) }
+
 // Reply hands over the reply. It never blocks; any reply but the first is dropped.
 func (x *Exchange) Reply(r Response) {
 	if x.once.CompareAndSwap(false, true) {
@@ -944,7 +949,7 @@
 
 // exchange has a request handled and waits for its reply or for the end of the client.
 func (c *serverConn) exchange(req *Request) (Response, bool) {
-	x, reply := NewExchange()
+	x, reply := NewExchange(c.raw)
 	if !c.held || c.turned {
 		if c.s.TurnedAway != nil {
 			c.s.TurnedAway(req)
--- a/internal/net/http.go
+++ b/internal/net/http.go
@@ -366,7 +366,10 @@
 }
 
 // Close ends the connection.
-func (c *Client) Close() { _ = c.c.Close() }
+func (c *Client) Close() { Cut(c.c) }
+
+// Abort makes it impossible that another byte of a request goes out; whatever is under way fails.
+func (c *Client) Abort() { Abort(c.c) }
 
 // Sound tells that the connection may carry another request.
 func (c *Client) Sound() bool { return c.sound }
--- /dev/null
+++ b/internal/net/socket.go
@@ -0,0 +1,114 @@
+package net
+
+import (
+	"errors"
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// Socket writes messages to a connection, each put together at the very moment at which the system takes it.
+type Socket struct {
+	c   net.Conn
+	raw syscall.RawConn // nil: the connection is not the system's own
+}
+
+// NewSocket returns the socket of a connection.
+func NewSocket(c net.Conn) *Socket { return &Socket{c: c, raw: rawConn(c)} }
+
+func rawConn(c net.Conn) syscall.RawConn {
+	system, ok := c.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := system.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	return raw
+}
+
+// WriteMessage has a message put together by begin and writes it. Where the system takes no byte it waits, within
+// the connection's write deadline, and has begin called again; an empty message ends the call. Between begin
+// and the system call there is nothing that may wait or take time. tried is called when the first system call
+// for a message has returned, with whether a byte has gone out; the rest then follows, however long that takes.
+func (s *Socket) WriteMessage(begin func() []byte, tried func(out bool)) error {
+	if s.raw == nil {
+		message := begin()
+		if len(message) == 0 {
+			return nil
+		}
+		n, err := s.c.Write(message)
+		tried(n > 0 || err == nil)
+		return err
+	}
+	var message []byte
+	var n int
+	var failure error
+	err := s.raw.Write(func(fd uintptr) (done bool) {
+		message = begin()
+		if len(message) == 0 {
+			return true
+		}
+		n, failure = write(int(fd), message)
+		tried(n > 0)
+		if errors.Is(failure, unix.EAGAIN) {
+			n, failure = 0, nil
+			return false
+		}
+		return true
+	})
+	if err == nil {
+		err = failure
+	}
+	if err != nil || n >= len(message) {
+		return err
+	}
+	_, err = s.c.Write(message[n:])
+	return err
+}
+
+// write makes one write(2), again where a signal has broken in.
+func write(fd int, b []byte) (int, error) {
+	for {
+		n, err := unix.Write(fd, b)
+		if err != unix.EINTR {
+			return max(n, 0), err
+		}
+	}
+}
+
+// Abort makes it impossible that another byte goes out on a connection, also by a write that has been begun:
+// after a shutdown the system takes no more. It does not wait.
+func Abort(c net.Conn) {
+	raw := rawConn(c)
+	if raw == nil {
+		_ = c.Close()
+		return
+	}
+	_ = raw.Control(func(fd uintptr) { _ = unix.Shutdown(int(fd), unix.SHUT_RDWR) })
+}
+
+// PeerLeft looks whether the other side of a connection has closed it or its sending side, without waiting and
+// whatever lies unread before the end. Where the system can't tell it is false.
+func PeerLeft(c net.Conn) bool {
+	raw := rawConn(c)
+	if raw == nil {
+		return false
+	}
+	left := false
+	_ = raw.Control(func(fd uintptr) {
+		look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(look, 0)
+		left = err == nil && n == 1 && look[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return left
+}
+
+// Cut closes a connection whose writer may be in a system call: closing alone would let that call put out its
+// bytes first, whenever its thread goes on, as the descriptor is kept until the call returns.
+func Cut(c net.Conn) {
+	Abort(c)
+	_ = c.Close()
+}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -71,6 +71,7 @@
 		return nil
 	}
 	q.Client = &client{x: x, log: f.log, count: f.core.Counts().Class(ClassName(r))}
+	q.ClientLeft = x.ClientLeft
 	if !f.core.Submit(q) {
 		q.Client.Final(core.Final{Ending: core.Refused, RetryAfter: f.core.FullAdvice()})
 		return nil
--- a/internal/platform/narrow_test.go
+++ b/internal/platform/narrow_test.go
@@ -62,7 +62,7 @@
 }
 
 func (n *Nodes) attach(id balance.ReplicaID) *nodeConn {
-	c := &nodeConn{n: n, node: &node{id: id, addr: "127.0.0.1:9"}, out: lnet.NewRing(outLimit),
+	c := &nodeConn{n: n, node: &node{id: id, addr: "127.0.0.1:9"},
 		waiting: map[string]*core.Attempt{}, given: map[string]time.Time{},
 		written: map[string]time.Time{}, wake: make(chan struct{}, 1),
 		used: time.Now(), opened: time.Now()}
@@ -92,7 +92,7 @@
 	}{{nil, balance.Reset}, {errors.New("broken pipe"), balance.NoConnection}} {
 		n, id, told := wired(t)
 		c, h := n.attach(id), newHeldConn()
-		c.c, c.up = h, true
+		c.c, c.socket, c.up = h, h, true
 		first, second := soon("q1", id), soon("q2", id)
 		if !n.Send(id, []*core.Attempt{first}) || !n.Send(id, []*core.Attempt{second}) {
 			t.Fatal("not queued")
@@ -115,7 +115,7 @@
 func TestWhatMayNotBeginAnyMoreIsNotWritten(t *testing.T) {
 	n, id, told := wired(t)
 	c, h := n.attach(id), newHeldConn()
-	c.c, c.up = h, true
+	c.c, c.socket, c.up = h, h, true
 	k, err := core.New(core.Config{Settings: n.conf.Load().Module, Log: standin.Quiet()})
 	if err != nil {
 		t.Fatal(err)
@@ -152,7 +152,7 @@
 func TestCallIsWordedWhenItBegins(t *testing.T) {
 	n, id, _ := wired(t)
 	c, h := n.attach(id), newHeldConn()
-	c.c, c.up = h, true
+	c.c, c.socket, c.up = h, h, true
 	all := []*core.Attempt{soon("q1", id), soon("q2", id), soon("q3", id)}
 	for _, a := range all {
 		a.Until = time.Now().Add(2 * time.Second) // a connection was waited for since
@@ -180,7 +180,7 @@
 func TestNothingIsCalledOffWhereThatIsForbidden(t *testing.T) {
 	n, id, _ := wired(t, `"cancel":true`, `"cancel":false`)
 	c, h := n.attach(id), newHeldConn()
-	c.c, c.up = h, true
+	c.c, c.socket, c.up = h, h, true
 	a, b := soon("q1", id), soon("q2", id)
 	n.Send(id, []*core.Attempt{a})
 	go c.carry(h)
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -109,7 +109,7 @@
 type nodeConn struct {
 	n       *Nodes
 	node    *node
-	out     *lnet.Ring // the writer's: the frame that it writes
+	socket  net.Conn   // c, set before the writer writes
 	mu      sync.Mutex // guards all below
 	frames  []frame
 	booked  int             // bytes of the frames
@@ -129,6 +129,8 @@
 	opened  time.Time
 	wake    chan struct{}
 	c       net.Conn
+	trying  bool   // the writer is in the system call for the first frame, and none of it may be out
+	tries   uint64 // such calls so far
 }
 
 // probe is one probe that is out. An overdue one stays in its place, for its answer bears no name.
@@ -147,15 +149,20 @@
 	begun bool            // the writer has it: only that knows whether its last byte goes out
 }
 
-// words are the bytes of a call at this moment, and the parts that it carries: those that are still waited
-// for and may begin.
-func (c *nodeConn) words(b []byte, call []*core.Attempt, now time.Time) ([]byte, []*core.Attempt) {
-	var carried []*core.Attempt
+// encodeCall encodes a call as it is at this moment, with those of its parts that are still waited for and may
+// begin. For each of these a write has begun (Attempt.BeginWrite). held are those that may not begin.
+func (c *nodeConn) encodeCall(b []byte, call []*core.Attempt, now time.Time) (frame []byte, carried,
+	held []*core.Attempt) {
 	b = append(b[:0], 0, 0, 0, 0, '1')
 	for _, a := range call {
 		id := wireID(a)
-		wait, may := a.MayBegin(now)
-		if c.waiting[id] != a || !may {
+		if c.waiting[id] != a {
+			continue
+		}
+		wait, hold := a.BeginWrite(c, now)
+		if hold != core.MayBegin {
+			c.n.log.Info("attempt not begun", "node", c.node.name, "part", id, "why", string(hold))
+			held = append(held, a)
 			continue
 		}
 		b = fmt.Appendf(b, "%s %d d=%d", id, a.Shard, max(1, wait.Milliseconds()))
@@ -167,7 +174,7 @@
 		carried = append(carried, a)
 	}
 	binary.LittleEndian.PutUint32(b, uint32(len(b)-4))
-	return b, carried
+	return b, carried, held
 }
 
 // callSize is what a call takes at most.
@@ -338,7 +345,7 @@
 	if !n.budget.TakeServer() {
 		return best // no descriptor is left: it waits behind others
 	}
-	c := &nodeConn{n: n, node: x, out: lnet.NewRing(outLimit), waiting: map[string]*core.Attempt{},
+	c := &nodeConn{n: n, node: x, waiting: map[string]*core.Attempt{},
 		given: map[string]time.Time{}, written: map[string]time.Time{}, wake: make(chan struct{}, 1),
 		used: time.Now(), opened: time.Now()}
 	x.conns = append(x.conns, c)
@@ -373,6 +380,9 @@
 	unsent := c.unqueue(a)
 	if !unsent && !c.dead {
 		c.giveUp(id)
+		if c.isTrying(a) { // given up, it is not to come behind what is sent instead
+			c.abortWrite(core.WriteGrace)
+		}
 	}
 	c.mu.Unlock()
 	if !unsent && n.conf.Load().Module.CanCancel { // where it may not be told the node answers what nobody hears
@@ -423,6 +433,9 @@
 	for _, c := range n.connsOf(to) {
 		c.mu.Lock()
 		for _, f := range c.frames {
+			if f.begun && len(f.call) > 0 && c.trying { // the node drains: it may not come late
+				c.abortWrite(core.WriteGrace)
+			}
 			if !f.begun {
 				for _, a := range f.call {
 					if c.waiting[wireID(a)] == a {
@@ -491,6 +504,11 @@
 	return false
 }
 
+// isTrying tells that an attempt is in the system call that the writer is in. The caller holds mu.
+func (c *nodeConn) isTrying(a *core.Attempt) bool {
+	return c.trying && len(c.frames) > 0 && slices.Contains(c.frames[0].call, a)
+}
+
 // unqueue takes an attempt back, and its call where nothing else in it is wanted, if it is not begun.
 func (c *nodeConn) unqueue(a *core.Attempt) bool {
 	c.calls = c.count()
@@ -532,7 +550,7 @@
 		_ = conn.Close()
 		return
 	}
-	c.c, c.up = conn, true
+	c.c, c.socket, c.up = conn, conn, true
 	c.mu.Unlock()
 	go c.read(conn)
 	c.carry(conn)
@@ -544,7 +562,8 @@
 	limit := time.Duration(idleShare * float64(c.n.conf.Load().ConnIdle))
 	idle := time.NewTimer(limit)
 	defer idle.Stop()
-	var buf []byte
+	w := &frameWriter{c: c}
+	socket := lnet.NewSocket(conn)
 	for {
 		c.mu.Lock()
 		if c.dead {
@@ -568,46 +587,122 @@
 			}
 			continue
 		}
-		f := &c.frames[0]
-		var held []*core.Attempt // may not begin any more
-		if f.call != nil {
-			all := f.call
-			if buf, f.call = c.words(buf, all, time.Now()); len(f.call) < len(all) {
-				for _, a := range all {
-					if c.waiting[wireID(a)] == a && !slices.Contains(f.call, a) {
-						delete(c.waiting, wireID(a))
-						held = append(held, a)
-					}
-				}
-				c.calls = c.count()
-			}
-		} else {
-			buf = append(buf[:0], f.text...)
-		}
-		if f.begun = len(f.call) > 0 || f.text != nil; !f.begun {
-			c.booked -= f.size
-			c.frames = c.frames[1:]
-		}
-		calls, begun := len(f.call), f.begun
 		c.mu.Unlock()
-		for _, a := range held {
-			c.n.post(core.Outcome{Attempt: a, Outcome: balance.NotSent})
-		}
-		if !begun {
-			continue
-		}
 		_ = conn.SetWriteDeadline(time.Now().Add(writeLimit))
-		_, err := c.out.Write(buf)
-		if err == nil {
-			_, err = conn.Write(c.out.First()) // all of it: the ring was empty
+		err := socket.WriteMessage(w.begin, w.tried)
+		if w.finish(err) {
+			return
+		}
+	}
+}
+
+// frameWriter writes the first frame of a connection's queue. Only its writer goroutine uses it.
+type frameWriter struct {
+	c       *nodeConn
+	buf     []byte
+	carried []*core.Attempt // with a write under way
+	held    []*core.Attempt // that may not begin any more, and of which the core has not heard
+	written bool            // begin has found something to write
+}
+
+// begin encodes the frame as it is to be at this moment, just before the system call, and begins the writes of
+// its parts. It returns nil where there is nothing to write.
+func (w *frameWriter) begin() []byte {
+	c, now := w.c, time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w.carried, w.written = nil, false
+	if c.dead || len(c.frames) == 0 {
+		return nil
+	}
+	f := &c.frames[0]
+	if f.call != nil {
+		var held []*core.Attempt
+		w.buf, f.call, held = c.encodeCall(w.buf, f.call, now)
+		w.carried = f.call
+		for _, a := range held {
+			delete(c.waiting, wireID(a))
 		}
-		if c.out.Discard(c.out.Len()); err == nil {
-			c.n.count.Tries.Add(int64(calls))
+		w.held = append(w.held, held...)
+		c.calls = c.count()
+	} else {
+		w.buf = append(w.buf[:0], f.text...)
+	}
+	if f.begun = len(f.call) > 0 || f.text != nil; !f.begun {
+		c.booked -= f.size
+		c.frames = c.frames[1:]
+		return nil
+	}
+	w.written, c.trying = true, true
+	c.tries++
+	for _, a := range w.carried {
+		if !a.Before.IsZero() { // a repeat: it must not come behind the window of its key either
+			c.abortWrite(a.Before.Sub(now) + core.WriteGrace)
 		}
-		if c.wrote(err) {
-			return
+	}
+	return w.buf
+}
+
+// abortWrite aborts the system call that the writer is in, if it has still not returned after the time given. What
+// is in it must not go out any more by then: its thread may be held up. The caller holds mu.
+func (c *nodeConn) abortWrite(after time.Duration) {
+	call := c.tries
+	time.AfterFunc(after, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.trying && c.tries == call && !c.dead {
+			c.Abort()
 		}
+	})
+}
+
+// tried ends the writes of the frame's parts. Where no byte has gone out the frame is as one that was never
+// begun: its parts may be taken back while the system takes nothing.
+func (w *frameWriter) tried(out bool) {
+	for _, a := range w.carried {
+		a.EndWrite(w.c)
+	}
+	w.c.mu.Lock()
+	if w.c.trying = false; !out && len(w.c.frames) > 0 {
+		w.c.frames[0].begun = false
+	}
+	w.c.mu.Unlock()
+	w.tellHeld()
+}
+
+// tellHeld tells the core of parts that never ran.
+func (w *frameWriter) tellHeld() {
+	for _, a := range w.held {
+		w.c.n.post(core.Outcome{Attempt: a, Outcome: balance.NotSent})
 	}
+	w.held = nil
+}
+
+// finish books how the write has ended, and tells whether the connection has.
+func (w *frameWriter) finish(err error) bool {
+	w.tellHeld()
+	switch {
+	case err != nil:
+	case w.written:
+		w.c.n.count.Tries.Add(int64(len(w.carried)))
+	case w.c.ended(): // while the system took nothing
+		err = net.ErrClosed
+	default:
+		return false // what there was to write has been taken back
+	}
+	return w.c.wrote(err)
+}
+
+func (c *nodeConn) ended() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.dead
+}
+
+// Abort makes it impossible that the connection's writer puts out another byte.
+func (c *nodeConn) Abort() {
+	c.n.log.Warn("write aborted: its request is over and the writer was held", "node", c.node.name)
+	lnet.Abort(c.socket)
 }
 
 // wrote books that the frame which the writer has begun is out, or that it never will be, and tells whether
@@ -626,7 +721,9 @@
 		return true
 	}
 	if err != nil {
-		c.frames[0].begun = false
+		if len(c.frames) > 0 {
+			c.frames[0].begun = false
+		}
 		c.mu.Unlock()
 		c.end(err)
 		return true
@@ -695,7 +792,7 @@
 	c.mu.Unlock()
 	c.poke()
 	if conn != nil {
-		_ = conn.Close()
+		lnet.Cut(conn)
 	}
 	c.n.budget.Release()
 	if err != nil {
--- a/internal/platform/ordering_test.go
+++ b/internal/platform/ordering_test.go
@@ -82,7 +82,7 @@
 	}
 	id := core.ServerID("a")
 	c, held := n.attach(id), newPausedConn()
-	c.c, c.up = held, true
+	c.c, c.socket, c.up = held, held, true
 	go c.carry(held)
 	go k.Run()
 	t.Cleanup(func() { k.Close(); _ = held.Close(); c.end(nil) })
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -280,7 +280,7 @@
 	n := NewNodes(config(t, newDiscovery(t)), lnet.NewBudget(10, 0), standin.Quiet(), &core.Counts{},
 		func(core.Event) {})
 	id := core.ServerID("a")
-	c := &nodeConn{n: n, node: &node{id: id}, out: lnet.NewRing(outLimit), waiting: map[string]*core.Attempt{},
+	c := &nodeConn{n: n, node: &node{id: id}, waiting: map[string]*core.Attempt{},
 		given: map[string]time.Time{}, written: map[string]time.Time{}, wake: make(chan struct{}, 1)}
 	n.nodes[id] = c.node
 	c.node.conns = []*nodeConn{c}
--- a/internal/promql/front.go
+++ b/internal/promql/front.go
@@ -368,7 +368,8 @@
 		return nil
 	}
 	cq := &core.Query{Name: "range-" + strconv.FormatUint(f.number.Add(1), 10), Class: f.class,
-		Deadline: j.deadline, Client: j, Via: f, Data: j, Caller: r.Header.Get(tenantHeader)}
+		Deadline: j.deadline, Client: j, Via: f, Data: j, Caller: r.Header.Get(tenantHeader),
+		ClientLeft: x.ClientLeft}
 	for s := range f.place.Shards {
 		cq.Parts = append(cq.Parts, core.PartSpec{Shard: s, Weight: 1})
 	}
@@ -733,19 +734,17 @@
 	if c == nil {
 		return balance.NoConnection, core.Value{}
 	}
-	fl.mu.Lock()
-	if _, may := fl.a.MayBegin(time.Now()); fl.cancelled || !may {
-		fl.mu.Unlock()
-		f.put(fl.s, c)
-		return balance.NotSent, core.Value{}
-	}
-	fl.c, fl.began = c, true
-	fl.mu.Unlock()
 	c.Grant = fl.grant
 	until := begun.Add(fl.a.Timeout)
-	body := j.q.form(fl.a.Shard, time.Until(until)).Encode()
+	now := time.Now()
+	body := j.q.form(fl.a.Shard, until.Sub(now)).Encode()
 	head := [][2]string{{"Content-Type", "application/x-www-form-urlencoded"}, {"Accept", "application/json"}}
-	err := c.Write("POST", fl.s.path+rangePath, fl.s.addr, head, []byte(body), time.Now().Add(writeLimit))
+	if !fl.begin(c, now) {
+		f.put(fl.s, c)
+		return balance.NotSent, core.Value{}
+	}
+	err := c.Write("POST", fl.s.path+rangePath, fl.s.addr, head, []byte(body), now.Add(writeLimit))
+	fl.a.EndWrite(c)
 	if err != nil { // its last byte was not written: it never ran
 		fl.leave()
 		return balance.NoConnection, core.Value{}
@@ -779,6 +778,23 @@
 	return balance.OK, core.Value{Data: r}
 }
 
+// begin begins the request's write on a connection; it may not where the attempt was given up or must not begin
+// any more.
+func (fl *flight) begin(c *lnet.Client, now time.Time) bool {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	if fl.cancelled {
+		return false
+	}
+	if _, hold := fl.a.BeginWrite(c, now); hold != core.MayBegin {
+		fl.f.place.Log.Info("attempt not begun", "server", fl.s.name, "query", fl.a.Query.Name,
+			"shard", fl.a.Shard, "why", string(hold))
+		return false
+	}
+	fl.c, fl.began = c, true
+	return true
+}
+
 // leave parts from the connection, so that a withdrawal that comes later closes nothing of others.
 func (fl *flight) leave() {
 	fl.mu.Lock()
