--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -746,6 +746,9 @@
 		e.What = "none: " + err.Error()
 	default:
 		e.Status = reply.Status
+		if reply.Status == 503 {
+			e.Why = strings.TrimSpace(string(reply.Body))
+		}
 		want := strings.ReplaceAll(`{"entire":true,"items":[{"slice":0,"body":"v:ID.0"},`+
 			`{"slice":1,"body":"v:ID.1"}]}`, "ID", id)
 		if got := string(reply.Body); reply.Status == 200 && got != want {
--- a/internal/rig/history.go
+++ b/internal/rig/history.go
@@ -21,6 +21,7 @@
 	Query  string  `json:"query,omitempty"`  // of a query and its answer
 	Status int     `json:"status,omitempty"` // of an answer; 0: none came
 	Took   float64 `json:"took_ms,omitempty"`
+	Why    string  `json:"why,omitempty"` // of a refusal, as its client was told
 }
 
 // The kinds of event.
