Hold servers' ages against steps of the wall clock

Need: the wall clock may be stepped by an hour; a server's start is told by it, and the module's clock runs on. Stepped back, a server that had just started passed for one long warm. Of an upgrade, what was put back and when went over by the old process's clock, an operator's call by the wall clock: a server could stay cold for an hour. The end compared the moment of the last request by the wall clock.

Change: starts are moved to the module's clock as a list is heard, and one that is told across a step is no older than the list before; what an upgrade hands over bears the clock that it is told by; the last request's moment is monotonic. The log's lines on requests name their servers.

--- a/internal/ajp/server.go
+++ b/internal/ajp/server.go
@@ -46,8 +46,9 @@
 	budget  *lnet.Budget
 	log     *slog.Logger
 	closing atomic.Bool
-	last    atomic.Int64
-	mu      sync.Mutex // guards conns
+	begun   time.Time    // when it was made
+	last    atomic.Int64 // when a request last came, in nanoseconds since then
+	mu      sync.Mutex   // guards conns
 	conns   map[*conn]struct{}
 	// Keeper, if set before Serve, says who is let in.
 	Keeper *lnet.Keeper
@@ -63,7 +64,8 @@
 	if o.Size == 0 {
 		o.Size = DefaultSize
 	}
-	return &Server{l: l, o: o, handle: h, budget: budget, log: log, conns: map[*conn]struct{}{}}, nil
+	return &Server{l: l, o: o, handle: h, budget: budget, log: log, conns: map[*conn]struct{}{},
+		begun: time.Now()}, nil
 }
 
 // Addr is the address listened on.
@@ -116,7 +118,7 @@
 func (s *Server) Wind() { s.closing.Store(true) }
 
 // LastRequest is when a request last came.
-func (s *Server) LastRequest() time.Time { return time.Unix(0, s.last.Load()) }
+func (s *Server) LastRequest() time.Time { return s.begun.Add(time.Duration(s.last.Load())) }
 
 // Finish winds, and closes the connections that carry nothing. Of one that is closed no packet is handled any
 // more, also if it had just been read.
@@ -330,7 +332,7 @@
 		return err
 	}
 	r.At = time.Now()
-	c.s.last.Store(r.At.UnixNano())
+	c.s.last.Store(int64(r.At.Sub(c.s.begun)))
 	x, reply := lnet.NewExchange(c.c)
 	gone := c.s.handle(r, x)
 	leave := func(err error) error {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -214,6 +214,8 @@
 type Listed struct {
 	Mode     balance.ListMode
 	Replicas []balance.Replica
+	// Heard is when, where the starts of the servers are told by the wall clock; zero: by the module's.
+	Heard time.Time
 }
 
 // ProbeDone tells how a probe ended.
@@ -268,6 +270,8 @@
 	Barred map[balance.ReplicaID]balance.Micros // the same by operators for the whole fleet
 	Since  map[balance.ReplicaID]balance.Micros
 	Memory balance.Memory
+	// Now is what the module's clock read there, which the moments are told by; 0: the same as here.
+	Now balance.Micros
 }
 
 // cordons asks for what Inherited tells the next process.
@@ -314,6 +318,8 @@
 	// Guard chooses which of the servers that are out by evidence, the first to be judged first, may be so.
 	// Nil: none.
 	Guard func(listed []verdict.Holder, sick []uint64) map[uint64]bool
+	// Named is a server's name for the log; nil: its number stands for it.
+	Named func(id balance.ReplicaID) (string, bool)
 	// Listed is called after the first Step that knew a server.
 	Listed func()
 }
@@ -350,8 +356,9 @@
 	order    map[balance.ReplicaID]uint64                  // of those that are judged
 	judged   map[uint64]bool                               // of those, the ones that are out
 	since    map[balance.ReplicaID]balance.Micros          // put back then: started no earlier
-	countAt  balance.Micros                                // when the list's figures are next due
-	idle     chan struct{}                                 // closed once nothing is open while stopping
+	starts   startTimes
+	countAt  balance.Micros // when the list's figures are next due
+	idle     chan struct{}  // closed once nothing is open while stopping
 	idleDone bool
 }
 
@@ -370,7 +377,7 @@
 		quit: make(chan struct{}), idle: make(chan struct{}),
 		epoch: now, base: now.UnixMicro(), queries: map[uint32]*Query{}, parts: map[uint32]*part{},
 		names: map[string]*Query{}, numbers: map[float32]bool{}, listed: map[balance.ReplicaID]balance.Replica{},
-		since: map[balance.ReplicaID]balance.Micros{}, order: map[balance.ReplicaID]uint64{},
+		since: map[balance.ReplicaID]balance.Micros{}, starts: newStartTimes(), order: map[balance.ReplicaID]uint64{},
 	}
 	c.adopt(cfg.Settings)
 	for i := range c.outs {
@@ -638,6 +645,7 @@
 	case Cordon:
 		c.cordon(e)
 	case Inherited: // it comes before any list
+		e.shift(e.Now, c.clock(time.Now()))
 		maps.Copy(c.outs[Here], e.Out)
 		maps.Copy(c.outs[ByFleet], e.Barred)
 		maps.Copy(c.since, e.Since)
@@ -650,7 +658,7 @@
 		c.events = append(c.events, balance.Event{Kind: balance.Changed, Settings: &e.Settings})
 	case cordons:
 		e.done <- Inherited{Out: maps.Clone(c.outs[Here]), Barred: maps.Clone(c.outs[ByFleet]),
-			Since: maps.Clone(c.since), Memory: c.module.Memory()}
+			Since: maps.Clone(c.since), Memory: c.module.Memory(), Now: c.clock(time.Now())}
 	case knows:
 		_, ok := c.listed[e.server]
 		e.done <- ok
@@ -670,6 +678,9 @@
 
 // learn remembers what discovery lists, and lays over it what operators have said.
 func (c *Core) learn(e *Listed) {
+	if !e.Heard.IsZero() {
+		c.starts.take(e.Replicas, c.clock(e.Heard), wallMicros(e.Heard), e.Mode == balance.Cached)
+	}
 	if e.Mode == balance.Full || e.Mode == balance.Cached {
 		clear(c.listed)
 	}
@@ -692,6 +703,7 @@
 			_, ok := c.listed[id]
 			return !ok
 		})
+		c.starts.forget(c.listed)
 	}
 }
 
--- a/internal/core/requestlog.go
+++ b/internal/core/requestlog.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"strconv"
 	"strings"
 	"time"
 
@@ -32,16 +33,16 @@
 		age, left = micros(now-q.began), micros(q.deadline-now)
 	}
 	c.cfg.Log.Info("request ended", "query", q.Name, "class", q.Class, "how", how, "why", why, "age", age,
-		"left", left, "attempts", attemptsText(q))
+		"left", left, "attempts", c.attemptsText(q))
 }
 
 // attemptsText lists a query's attempts as shard, replica, and when each began and ended how, in ms of the
 // query's age.
-func attemptsText(q *Query) string {
+func (c *Core) attemptsText(q *Query) string {
 	var text strings.Builder
 	for _, p := range q.parts {
 		for _, a := range p.tries {
-			fmt.Fprintf(&text, "%d>%x@%d", a.Shard, uint64(a.Replica), micros(a.sent-q.began).Milliseconds())
+			fmt.Fprintf(&text, "%d>%s@%d", a.Shard, c.serverText(a.Replica), micros(a.sent-q.began).Milliseconds())
 			if a.over {
 				fmt.Fprintf(&text, "-%d:%s", micros(a.ended-q.began).Milliseconds(), a.outcome)
 			}
@@ -51,4 +52,14 @@
 	return text.String()
 }
 
+// serverText is a server's name, or its number where nobody knows that.
+func (c *Core) serverText(id balance.ReplicaID) string {
+	if c.cfg.Named != nil {
+		if name, ok := c.cfg.Named(id); ok {
+			return name
+		}
+	}
+	return strconv.FormatUint(uint64(id), 16)
+}
+
 func micros(m balance.Micros) time.Duration { return time.Duration(m) * time.Microsecond }
--- a/internal/kiosk/front.go
+++ b/internal/kiosk/front.go
@@ -159,7 +159,7 @@
 	f.router.old.Learn(hosts, true)
 	f.router.anew.Learn(targets)
 	f.router.learn(forms)
-	f.core.Post(core.Listed{Mode: balance.Full, Replicas: replicas})
+	f.core.Post(core.Listed{Mode: balance.Full, Replicas: replicas, Heard: time.Now()})
 }
 
 // ServerName is a server's name by its number; false: there is none.
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -377,7 +377,8 @@
 	// before Serve.
 	Keeper *Keeper
 	Secure Secure
-	last   atomic.Int64 // when a request last came, in Unix nanoseconds
+	begun  time.Time    // when it was made
+	last   atomic.Int64 // when a request last came, in nanoseconds since then
 	spare  atomic.Int64 // connections beyond the budget that are just being refused
 }
 
@@ -409,7 +410,8 @@
 
 // NewServer serves on a listener that is there.
 func NewServer(l net.Listener, budget *Budget, log *slog.Logger, h Handler) *Server {
-	s := &Server{l: l, handle: h, budget: budget, log: log, conns: map[*serverConn]struct{}{}}
+	s := &Server{l: l, handle: h, budget: budget, log: log, conns: map[*serverConn]struct{}{},
+		begun: time.Now()}
 	budget.spareBy(func() bool { return s.evict(fresh) })
 	return s
 }
@@ -585,7 +587,7 @@
 }
 
 // LastRequest is when a request last came.
-func (s *Server) LastRequest() time.Time { return time.Unix(0, s.last.Load()) }
+func (s *Server) LastRequest() time.Time { return s.begun.Add(time.Duration(s.last.Load())) }
 
 // Open counts the connections.
 func (s *Server) Open() int {
@@ -964,7 +966,7 @@
 		}
 		return r, true
 	}
-	c.s.last.Store(req.At.UnixNano())
+	c.s.last.Store(int64(req.At.Sub(c.s.begun)))
 	gone := c.s.handle(req, x)
 	c.signal() // the word of an end that came along with the request may have been taken with it
 	for {
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -113,7 +113,8 @@
 	}
 	k.front = NewFront(cfg, log, k.nodes)
 	conf := core.Config{Settings: cfg.Module, Seed: cfg.seed(), Backends: backends, Log: log, Counts: counts,
-		Listed: func() { close(k.listed) }}
+		Listed: func() { close(k.listed) },
+		Named:  func(id balance.ReplicaID) (string, bool) { return k.nodeName(uint64(id)) }}
 	var err error
 	if cfg.PeerListen != "" && !cfg.fleetCarriesPeers() {
 		if k.peers, err = listenPeers(cfg, log, post, h); err != nil {
@@ -160,13 +161,14 @@
 	}
 	if h != nil {
 		k.core.Post(core.Inherited{Out: h.greeting.Out, Barred: h.greeting.Barred, Since: h.greeting.Since,
-			Memory: h.greeting.Memory})
+			Memory: h.greeting.Memory, Now: h.greeting.Now})
 		k.upgrade.follow(h)
 	}
 	if cfg.Known != nil { // what was known before a restart: enough to begin with
 		w.seq = cfg.Known.Seq
 		k.nodes.Learn(cfg.Known.Hosts, true)
-		k.core.Post(core.Listed{Mode: balance.Cached, Replicas: cfg.replicas(cfg.Known.Hosts)})
+		k.core.Post(core.Listed{Mode: balance.Cached, Replicas: cfg.replicas(cfg.Known.Hosts),
+			Heard: time.Now()})
 	}
 	if k.peers != nil {
 		go k.peers.read()
--- a/internal/platform/upgrade.go
+++ b/internal/platform/upgrade.go
@@ -52,6 +52,7 @@
 	Barred  map[balance.ReplicaID]balance.Micros `json:"barred,omitempty"`  // old: the same by the whole fleet
 	Since   map[balance.ReplicaID]balance.Micros `json:"since,omitempty"`   // old: and back
 	Memory  balance.Memory                       `json:"memory"`            // old: what its module hands over
+	Now     balance.Micros                       `json:"now,omitempty"`     // old: what its module's clock reads
 	Most    int                                  `json:"most,omitempty"`    // old: descriptors for the new one
 	Ready   bool                                 `json:"ready,omitempty"`   // new: it is about to serve
 	Heard   bool                                 `json:"heard,omitempty"`   // old: it knows that
@@ -516,7 +517,8 @@
 	u.mu.Lock()
 	most := u.rest()
 	u.mu.Unlock()
-	w := word{Out: said.Out, Barred: said.Barred, Since: said.Since, Memory: said.Memory, Most: most}
+	w := word{Out: said.Out, Barred: said.Barred, Since: said.Since, Memory: said.Memory, Now: said.Now,
+		Most: most}
 	socks := []any{u.k.server.Listener()}
 	w.Sockets = []string{"listen"}
 	if u.k.peers != nil {
@@ -616,7 +618,8 @@
 // obey carries out an operator's call that the other process has had.
 func (u *upgrade) obey(w word) {
 	if c := w.Cordon; c != nil {
-		u.k.core.Post(core.Cordon{Server: c.Server, Out: c.Out, By: c.By, At: c.At, Sure: true})
+		// Its moment is by the other process's clock, and the wall clock may have been stepped: now is as good.
+		u.k.core.Post(core.Cordon{Server: c.Server, Out: c.Out, By: c.By, Sure: true})
 	}
 }
 
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -226,7 +226,7 @@
 		mode = balance.Full
 	}
 	w.nodes.Learn(list.Hosts, list.Whole)
-	w.post(core.Listed{Mode: mode, Replicas: w.cfg.replicas(list.Hosts)})
+	w.post(core.Listed{Mode: mode, Replicas: w.cfg.replicas(list.Hosts), Heard: time.Now()})
 	if list.Whole {
 		select {
 		case <-w.whole:
