--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -100,7 +100,6 @@
 	since  Micros // the keeper is that one
 	heard  Micros // the level last came from there
 	now    Count
-	tickAt Micros
 	weighs Micros // as the keeper: when the level was last weighed
 	streak int
 	able   float64
--- a/internal/promql/query.go
+++ b/internal/promql/query.go
@@ -45,10 +45,8 @@
 	plan             plan
 }
 
-// grid is the set of points that a query asks for: start + k x step, up to the end. Where the step does not
-// divide the range the end is not among them.
-func (q *rangeQuery) last() int64 { return q.start + (q.end-q.start)/q.step*q.step }
-
+// onGrid tells that a query asks for the point: start + k x step, up to the end. Where the step does not divide the
+// range the end is not among them.
 func (q *rangeQuery) onGrid(t int64) bool {
 	return t >= q.start && t <= q.end && (t-q.start)%q.step == 0
 }
@@ -249,7 +247,7 @@
 		l.selects = true
 		named := false
 		for _, m := range e.LabelMatchers {
-			named = named || m.Name == labels.MetricName && m.Type == labels.MatchEqual && m.Value != ""
+			named = named || m.Name == model.MetricNameLabel && m.Type == labels.MatchEqual && m.Value != ""
 		}
 		l.unnamed = l.unnamed || !named
 		return nil
--- a/internal/promql/series.go
+++ b/internal/promql/series.go
@@ -13,6 +13,7 @@
 	"sort"
 	"strconv"
 
+	"github.com/prometheus/common/model"
 	"github.com/prometheus/prometheus/model/labels"
 	"github.com/prometheus/prometheus/promql/parser"
 )
@@ -243,7 +244,7 @@
 	for _, s := range in {
 		b := labels.NewBuilder(s.labels)
 		if p.without {
-			b.Del(p.grouping...).Del(labels.MetricName)
+			b.Del(p.grouping...).Del(model.MetricNameLabel)
 		} else {
 			b.Keep(p.grouping...)
 		}
