Split the files of the core, of nodes' connections and of the server by concern

Need: core.go, nodes.go and conn.go had grown to 1,000 lines and more, with several jobs each.

Change: moved unchanged: queries, events, figures, servers and actions of the core; a node connection's state, writer, reader and latency; ring buffer, budget and server of internal/net. writeLoop, markWritten, filterQueue and expectResponse bear the names that a newcomer expects.

--- a/internal/platform/narrow_test.go
+++ b/internal/platform/narrow_test.go
@@ -97,7 +97,7 @@
 		if !n.Send(id, []*core.Attempt{first}) || !n.Send(id, []*core.Attempt{second}) {
 			t.Fatal("not queued")
 		}
-		go c.carry(h)
+		go c.writeLoop(h)
 		<-h.writing
 		c.end(errors.New("connection reset by peer")) // the reader's word
 		if o := outcome(t, told); o.Attempt != second || o.Outcome != balance.NoConnection {
@@ -126,7 +126,7 @@
 	over.Until = time.Now()
 	good.Before = time.Now().Add(time.Minute)
 	n.Send(id, []*core.Attempt{running})
-	go c.carry(h)
+	go c.writeLoop(h)
 	<-h.writing
 	for _, a := range []*core.Attempt{left, past, over, good} { // behind a frame that is being written
 		if !n.Send(id, []*core.Attempt{a}) {
@@ -162,7 +162,7 @@
 	if !n.Withdraw(all[1]) {
 		t.Fatal("a part of a call that is not begun has never run")
 	}
-	go c.carry(h)
+	go c.writeLoop(h)
 	var wait [2]int
 	words := string(<-h.writing)
 	form := "q1.0 0 d=%d 0\nq3.0 0 d=%d,k=key 4\ntext"
@@ -183,7 +183,7 @@
 	c.c, c.socket, c.up = h, h, true
 	a, b := soon("q1", id), soon("q2", id)
 	n.Send(id, []*core.Attempt{a})
-	go c.carry(h)
+	go c.writeLoop(h)
 	<-h.writing
 	h.goOn <- nil
 	standin.Until(t, "the frame to be booked", func() bool {
--- /dev/null
+++ b/internal/platform/noderead.go
@@ -0,0 +1,274 @@
+package platform
+
+// The reader of a connection to a data node: frames, answers, and silence.
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"lapislever/balance"
+	"lapislever/internal/core"
+	lnet "lapislever/internal/net"
+)
+
+// errSpoilt marks the end of a connection on which something came that cannot be used, or nothing any more
+// while the node answers on others. What is out on it may have run; of the node it says nothing.
+var errSpoilt = errors.New("spoilt")
+
+func spoilt(format string, args ...any) error {
+	return fmt.Errorf("%w: %s", errSpoilt, fmt.Sprintf(format, args...))
+}
+
+// read takes answers off the connection. Spoilt ones may come from any node; the bytes after one mean
+// nothing, so the connection ends with it.
+func (c *nodeConn) read(conn net.Conn) {
+	in := lnet.NewRing(maxFrame + 4)
+	begun := false // a frame that is not all there
+	for {
+		n, err := conn.Read(in.Free())
+		in.Grew(n)
+		if n > 0 {
+			c.heard()
+		}
+		taken := in.Len()
+		for {
+			b, bad := nextFrame(in)
+			if b != nil {
+				bad = c.frame(b)
+			}
+			if bad != nil {
+				c.n.log.Warn("bad frame from a node", "node", c.node.name, "err", bad)
+				c.end(bad)
+				return
+			}
+			if b == nil {
+				break
+			}
+		}
+		taken -= in.Len()
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			err = spoilt("a frame that does not come to its end")
+			c.n.log.Warn("bad frame from a node", "node", c.node.name, "err", err)
+		case in.Len() > 0 && c.quiet():
+			// More than belongs to a good answer, which stands. The next answer would be read behind it.
+			err = spoilt("%d bytes of noise", in.Len())
+			c.n.log.Warn("bad frame from a node", "node", c.node.name, "err", err)
+		case in.Len() > 0 && (!begun || taken > 0):
+			_ = conn.SetReadDeadline(time.Now().Add(c.n.frameLimit()))
+		case in.Len() == 0 && begun:
+			_ = conn.SetReadDeadline(time.Time{})
+		}
+		begun = in.Len() > 0
+		if err != nil {
+			c.end(err)
+			return
+		}
+	}
+}
+
+// frameLimit is how long a frame may take once it has begun.
+func (n *Nodes) frameLimit() time.Duration {
+	aim := balance.Micros(0)
+	for _, c := range n.conf.Load().Module.Classes {
+		if aim == 0 || c.Aim < aim {
+			aim = c.Aim
+		}
+	}
+	return max(frameLeast, time.Duration(aim)*time.Microsecond/frameShare)
+}
+
+// heard notes that something came on the connection.
+func (c *nodeConn) heard() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.owed, c.doubt = time.Time{}, time.Time{}
+	if len(c.written) > 0 {
+		c.owed = time.Now()
+	}
+}
+
+// expectResponse forgets what is not waited for any more: the connection owes an answer since the oldest part that is.
+func (c *nodeConn) expectResponse() {
+	var oldest time.Time
+	for _, at := range c.written {
+		if oldest.IsZero() || at.Before(oldest) {
+			oldest = at
+		}
+	}
+	if oldest.IsZero() || oldest.After(c.owed) {
+		c.owed = oldest
+	}
+}
+
+// outlived is called when a node has answered, on this connection, what was written at the time given. One
+// that has been silent since before, and goes on to be, has fallen silent for good: what is out on it is
+// told now, and not by a time-out each. After a pause of the node it has the time to speak up too.
+func (c *nodeConn) outlived(written time.Time) {
+	var mute []*nodeConn
+	limit := c.node.took.most()
+	c.n.mu.Lock()
+	for _, x := range c.node.conns {
+		if x == c {
+			continue
+		}
+		x.mu.Lock()
+		if !x.owed.IsZero() && x.owed.Before(written) && time.Since(x.owed) > limit {
+			if x.doubt.IsZero() {
+				x.doubt = time.Now()
+			} else if time.Since(x.doubt) > limit {
+				mute = append(mute, x)
+			}
+		}
+		x.mu.Unlock()
+	}
+	c.n.mu.Unlock()
+	for _, x := range mute {
+		c.n.log.Warn("connection to a node fell silent", "node", c.node.name, "after", limit)
+		x.end(spoilt("nothing came any more"))
+	}
+}
+
+// quiet tells that nothing is out on the connection.
+func (c *nodeConn) quiet() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.waiting) == 0 && len(c.given) == 0 && len(c.probes) == 0
+}
+
+// nextFrame takes one whole frame, without its length, out of the ring. It returns nil while bytes are
+// lacking, and an error as soon as what is there cannot become a frame. Nothing is allocated by a length that
+// has not come.
+func nextFrame(in *lnet.Ring) ([]byte, error) {
+	var head [5]byte
+	n := in.Peek(head[:], 0)
+	if n < 4 {
+		return nil, nil
+	}
+	size := binary.LittleEndian.Uint32(head[:])
+	if size < 1 || size > maxFrame {
+		return nil, spoilt("a frame of %d bytes", size)
+	}
+	if n == 5 && (head[4] < '3' || head[4] > '5') && head[4] != 'X' {
+		return nil, spoilt("a frame of the unknown kind %q", head[4])
+	}
+	if in.Len() < 4+int(size) {
+		if in.Len() > maxLine && in.Index([]byte("\n")) < 0 {
+			return nil, spoilt("a line that does not come to its end")
+		}
+		return nil, nil
+	}
+	b := make([]byte, size)
+	in.Peek(b, 4)
+	in.Discard(4 + int(size))
+	return b, nil
+}
+
+// frame takes in one frame of the node.
+func (c *nodeConn) frame(b []byte) error {
+	rest := b[1:]
+	switch b[0] {
+	case '5':
+		a, err := parseAnswer(rest)
+		if err != nil {
+			return err
+		}
+		var sent time.Time
+		c.mu.Lock()
+		c.used = time.Now()
+		at := c.waiting[a.id]
+		_, given := c.given[a.id]
+		switch {
+		case at != nil && !(given && c.queued(at)):
+			if c.queued(at) {
+				c.mu.Unlock()
+				return spoilt("an answer to a part that was not sent")
+			}
+			sent = c.written[a.id]
+			delete(c.waiting, a.id)
+			delete(c.written, a.id)
+			if len(c.written) == 0 {
+				c.owed = time.Time{}
+			}
+			c.calls = c.count()
+		case given: // late: the attempt was given up
+			at = nil
+			delete(c.given, a.id)
+		default:
+			c.mu.Unlock() // if it is a second copy, the first stands
+			return spoilt("an answer to no part that is out: %.100q", a.id)
+		}
+		done := c.retired && len(c.waiting) == 0
+		c.mu.Unlock()
+		if done {
+			c.poke()
+		}
+		if !sent.IsZero() {
+			if a.outcome != balance.Busy { // which comes at once, whatever waits
+				c.node.took.add(time.Since(sent))
+			}
+			c.outlived(sent)
+		}
+		if at != nil {
+			c.n.post(core.Outcome{Attempt: at, Outcome: a.outcome, Report: c.n.conf.Load().report(a.report),
+				Value: core.Value{Body: a.value}})
+		}
+		return nil
+	case '3', '4':
+		c.mu.Lock()
+		if len(c.probes) == 0 {
+			c.mu.Unlock()
+			return spoilt("an answer to no probe")
+		}
+		p := c.probes[0]
+		c.probes = c.probes[1:]
+		c.mu.Unlock()
+		if string(rest) == "E" {
+			c.probeDone(p, balance.Error, nil)
+		} else {
+			c.probeDone(p, balance.OK, c.n.conf.Load().report(string(rest)))
+		}
+		return nil
+	case 'X':
+		return fmt.Errorf("the node could not use a frame: %.100q", rest)
+	}
+	return spoilt("a frame of the unknown kind %q", b[0])
+}
+
+// nodeAnswer is the line of an answer and its value.
+type nodeAnswer struct {
+	id      string
+	outcome balance.Outcome
+	report  string
+	value   []byte
+}
+
+// parseAnswer reads `ID END SCORE REPORT` LF value.
+func parseAnswer(b []byte) (nodeAnswer, error) {
+	i := bytes.IndexByte(b, '\n')
+	if i < 0 {
+		return nodeAnswer{}, spoilt("an answer without a line")
+	}
+	f := strings.SplitN(string(b[:i]), " ", 4) // a report that cannot be read spoils no answer
+	if len(f) != 4 || f[0] == "" {
+		return nodeAnswer{}, spoilt("an answer's line %.100q", b[:i])
+	}
+	a := nodeAnswer{id: f[0], report: f[3], value: b[i+1:]}
+	switch f[1] {
+	case "S":
+		a.outcome = balance.OK
+	case "E":
+		a.outcome = balance.Error
+	case "B":
+		a.outcome = balance.Busy
+	default:
+		return nodeAnswer{}, spoilt("an answer's end %.20q", f[1])
+	}
+	return a, nil
+}
--- a/internal/platform/ordering_test.go
+++ b/internal/platform/ordering_test.go
@@ -83,7 +83,7 @@
 	id := core.ServerID("a")
 	c, held := n.attach(id), newPausedConn()
 	c.c, c.socket, c.up = held, held, true
-	go c.carry(held)
+	go c.writeLoop(held)
 	go k.Run()
 	t.Cleanup(func() { k.Close(); _ = held.Close(); c.end(nil) })
 	k.Post(core.Listed{Mode: balance.Full, Replicas: []balance.Replica{{ID: id, State: balance.Ready, Size: 1}}})
