Hold a request's end behind the whole of a frame that is being written

Need: the barrier was left with a frame's first byte. The rest of one that goes out in two pieces could follow the answer by up to the write limit, and only with its last byte the node begins.

Change: a write counts as under way until the whole frame is out or has failed; of a gRPC call, all that was put in the output as it began.

--- a/internal/grpcnode/conn.go
+++ b/internal/grpcnode/conn.go
@@ -49,8 +49,8 @@
 	ended  bool // the last frame is in the ring
 	whole  bool // and its last byte was written
 	begun  bool // a reply's first head came
-	// opens is the place in the output at which its first byte stands; entered tells that its write has begun and
-	// not ended (core.Attempt.BeginWrite).
+	// opens is the place in the output up to which stands what of it was put there as it began, 0 until that is
+	// known; entered tells that this write has begun and not ended (core.Attempt.BeginWrite).
 	opens   uint64
 	entered bool
 	reply   []byte
@@ -83,7 +83,7 @@
 	marks    []mark
 	waiting  []*stream // not begun
 	sending  []*stream // begun, and not all in frames
-	opening  []*stream // with their first byte in the ring: it may go out at any moment
+	opening  []*stream // begun, and what was put in the ring then is not all out
 	raw      net.Conn  // the socket, below TLS; set before anything is written
 	streams  map[uint32]*stream
 	of       map[*core.Attempt]*stream
@@ -436,10 +436,11 @@
 	})
 }
 
-// endOpening ends the writes of the calls whose first byte is out; the caller holds mu.
+// endOpening ends the writes of the calls of which all is out that was put there as they began; the caller holds
+// mu.
 func (c *conn) endOpening(written uint64) {
 	c.opening = slices.DeleteFunc(c.opening, func(s *stream) bool {
-		out := s.opens < written
+		out := s.opens > 0 && s.opens <= written
 		if out && s.entered {
 			s.entered = false
 			s.a.EndWrite(c)
@@ -452,9 +453,19 @@
 func (c *conn) closeOpening() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.markOpening()
 	c.endOpening(math.MaxUint64)
 }
 
+// markOpening notes up to where the output holds what of the calls just begun was put there; the caller holds mu.
+func (c *conn) markOpening() {
+	for _, s := range c.opening {
+		if s.opens == 0 {
+			s.opens = c.put
+		}
+	}
+}
+
 // pump makes frames of what may be sent now, and returns the calls for which it is too late; the caller holds
 // mu. A call is begun only where nothing else waits to be written, so that its first byte goes out with the
 // next system call: its query's end waits for that.
@@ -468,6 +479,7 @@
 			delete(c.of, s.a)
 		}
 	}
+	defer c.markOpening()
 	free := c.out.Len() == 0
 	for free && len(c.waiting) > 0 && len(c.streams) < c.most() && c.out.Len() < outHigh && !c.retired {
 		s := c.waiting[0]
@@ -477,7 +489,7 @@
 			dropped = append(dropped, s)
 			continue
 		}
-		s.opens, s.entered = c.put, true
+		s.entered = true
 		c.opening = append(c.opening, s)
 		if by := s.a.Before; !by.IsZero() {
 			c.abortWrite(s, by.Sub(now)+core.WriteGrace)
--- a/internal/net/socket.go
+++ b/internal/net/socket.go
@@ -31,8 +31,8 @@
 
 // WriteMessage has a message put together by begin and writes it. Where the system takes no byte it waits, within
 // the connection's write deadline, and has begin called again; an empty message ends the call. Between begin
-// and the system call there is nothing that may wait or take time. tried is called when the first system call
-// for a message has returned, with whether a byte has gone out; the rest then follows, however long that takes.
+// and the system call there is nothing that may wait or take time. tried is called when a try is over, with
+// whether bytes have gone out: where some have, once the rest has followed or has failed.
 func (s *Socket) WriteMessage(begin func() []byte, tried func(out bool)) error {
 	if s.raw == nil {
 		message := begin()
@@ -51,21 +51,26 @@
 		if len(message) == 0 {
 			return true
 		}
-		n, failure = write(int(fd), message)
-		tried(n > 0)
+		if n, failure = write(int(fd), message); n > 0 {
+			return true
+		}
+		tried(false)
 		if errors.Is(failure, unix.EAGAIN) {
-			n, failure = 0, nil
+			failure = nil
 			return false
 		}
 		return true
 	})
+	if n > 0 {
+		if err == nil && n < len(message) {
+			_, err = s.c.Write(message[n:])
+		}
+		tried(true)
+		return err
+	}
 	if err == nil {
 		err = failure
 	}
-	if err != nil || n >= len(message) {
-		return err
-	}
-	_, err = s.c.Write(message[n:])
 	return err
 }
 
--- a/internal/platform/nodeconn.go
+++ b/internal/platform/nodeconn.go
@@ -39,8 +39,8 @@
 	opened  time.Time
 	wake    chan struct{}
 	c       net.Conn
-	trying  bool   // the writer is in the system call for the first frame, and none of it may be out
-	tries   uint64 // such calls so far
+	trying  bool   // the writer is in the system calls for the first frame: not all of it is out
+	tries   uint64 // frames that were tried so far
 }
 
 // probe is one probe that is out. An overdue one stays in its place, for its answer bears no name.
