--- /dev/null
+++ b/internal/net/socket_test.go
@@ -0,0 +1,91 @@
+package net
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// fullSocket is one end of a connection of which the system takes no byte more, and the other end.
+func fullSocket(t *testing.T) (full, other net.Conn, filled int) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	if full, err = net.Dial("tcp", l.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	if other, err = l.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = full.Close(); _ = other.Close() })
+	_ = full.(*net.TCPConn).SetWriteBuffer(4 << 10)
+	_ = other.(*net.TCPConn).SetReadBuffer(4 << 10)
+	for junk := bytes.Repeat([]byte("x"), 4<<10); ; {
+		_ = full.SetWriteDeadline(time.Now().Add(50 * time.Millisecond))
+		n, err := full.Write(junk)
+		if filled += n; err != nil {
+			_ = full.SetWriteDeadline(time.Time{})
+			return full, other, filled
+		}
+	}
+}
+
+// While the system takes nothing a message is not begun: it is put together anew for each try, and the last form
+// goes out.
+func TestMessageIsPutTogetherWhenItCanGoOut(t *testing.T) {
+	full, other, filled := fullSocket(t)
+	forms := [][]byte{[]byte("first"), []byte("second")}
+	var tries []bool
+	waits := make(chan struct{})
+	done := make(chan error, 1)
+	go func() {
+		done <- NewSocket(full).WriteMessage(
+			func() []byte { return forms[min(len(tries), 1)] },
+			func(out bool) {
+				if tries = append(tries, out); len(tries) == 1 {
+					close(waits)
+				}
+			})
+	}()
+	<-waits
+	got := make([]byte, filled+len(forms[1]))
+	if _, err := io.ReadFull(other, got); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-done; err != nil || string(got[filled:]) != "second" {
+		t.Fatalf("%v, %q", err, got[filled:])
+	}
+	if tries[0] || !tries[len(tries)-1] {
+		t.Fatalf("tries %v", tries)
+	}
+}
+
+// After Abort nothing goes out any more, whatever waits to; and a client that has closed is seen to have left.
+func TestAbortEndsAWriteThatWaits(t *testing.T) {
+	full, other, _ := fullSocket(t)
+	waits, done := make(chan struct{}, 16), make(chan error, 1)
+	go func() {
+		done <- NewSocket(full).WriteMessage(func() []byte { return []byte("late") },
+			func(bool) { waits <- struct{}{} })
+	}()
+	<-waits
+	if PeerLeft(full) || PeerLeft(other) {
+		t.Fatal("left before the end")
+	}
+	Abort(full)
+	if err := <-done; err == nil {
+		t.Fatal("written after the abort")
+	}
+	all, err := io.ReadAll(other)
+	if err != nil || bytes.Contains(all, []byte("late")) {
+		t.Fatalf("%v: the message came after all", err)
+	}
+	if !PeerLeft(other) {
+		t.Fatal("the end is not seen")
+	}
+}
