--- a/balance/api.go
+++ b/balance/api.go
@@ -166,7 +166,8 @@
 
 // String is the outcome's name in the log.
 func (o Outcome) String() string {
-	names := [...]string{Error: "error", OK: "ok", Busy: "busy", TimedOut: "timed out", NoConnection: "no connection",
+	names := [...]string{Error: "error", OK: "ok", Busy: "busy", TimedOut: "timed out",
+		NoConnection: "no connection",
 		Reset: "reset", Cancelled: "cancelled", NotSent: "not sent", Spoilt: "spoilt"}
 	if int(o) < len(names) {
 		return names[o]
--- a/internal/console/handover.go
+++ b/internal/console/handover.go
@@ -15,7 +15,8 @@
 	}
 	path := filepath.Join(filepath.Dir(own), program)
 	if err := syscall.Exec(path, append([]string{path}, args...), os.Environ()); err != nil {
-		return fmt.Errorf("%s: %w: it is built with the program: go build -o bin/ lapislever/cmd/rehearse", path, err)
+		return fmt.Errorf("%s: %w: it is built with the program: go build -o bin/ lapislever/cmd/rehearse", path,
+			err)
 	}
 	return nil
 }
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -38,8 +38,8 @@
 	HoldAnswered Hold = "its request is over"
 )
 
-// BeginWrite asks whether the attempt's first byte may be written now, and how long the core will wait for the
-// attempt from there. Where it may, the caller makes the system call at once and then calls EndWrite: in
+// BeginWrite asks whether the attempt's first byte may be written now, and how long the core will wait for
+// the attempt from there. Where it may, the caller makes the system call at once and then calls EndWrite: in
 // between the query's end waits for the call or aborts it. Nothing may come between the two, in particular no
 // look at a clock and nothing that waits; the time given has been read before.
 func (a *Attempt) BeginWrite(w Writer, now time.Time) (wait time.Duration, hold Hold) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -149,7 +149,8 @@
 		quit: make(chan struct{}), idle: make(chan struct{}),
 		epoch: now, base: now.UnixMicro(), queries: map[uint32]*Query{}, parts: map[uint32]*part{},
 		names: map[string]*Query{}, numbers: map[float32]bool{}, listed: map[balance.ReplicaID]balance.Replica{},
-		since: map[balance.ReplicaID]balance.Micros{}, starts: newStartTimes(), order: map[balance.ReplicaID]uint64{},
+		since: map[balance.ReplicaID]balance.Micros{}, starts: newStartTimes(),
+		order: map[balance.ReplicaID]uint64{},
 	}
 	c.adopt(cfg.Settings)
 	for i := range c.outs {
--- a/internal/core/requestlog.go
+++ b/internal/core/requestlog.go
@@ -22,8 +22,8 @@
 	return "failed"
 }
 
-// logEnd logs how a query that was not answered ended and why, with all its attempts: one line tells each retry
-// and what came before it.
+// logEnd logs how a query that was not answered ended and why, with all its attempts: one line tells each
+// retry and what came before it.
 func (c *Core) logEnd(q *Query, how, why string) {
 	if !c.cfg.Log.Enabled(context.Background(), slog.LevelInfo) {
 		return
--- a/internal/core/starts.go
+++ b/internal/core/starts.go
@@ -24,8 +24,8 @@
 		start: map[balance.ReplicaID]balance.Micros{}}
 }
 
-// take translates the starts of a list that was heard at a moment of the module's clock, when the wall clock read
-// wall. What was told before a step keeps the moment that it had then.
+// take translates the starts of a list that was heard at a moment of the module's clock, when the wall clock
+// read wall. What was told before a step keeps the moment that it had then.
 func (s *startTimes) take(list []balance.Replica, now, wall balance.Micros, cached bool) {
 	skew := wall - now
 	if -stepLeast < skew && skew < stepLeast {
@@ -64,14 +64,15 @@
 	}
 }
 
-// shift moves what another process has told from its module's clock, which read from, to this one's, which reads
-// to: the two differ by as much as the wall clock was stepped between their starts.
+// shift moves what another process has told from its module's clock, which read from, to this one's, which
+// reads to: the two differ by as much as the wall clock was stepped between their starts.
 func (in *Inherited) shift(from, to balance.Micros) {
 	by := to - from
 	if from == 0 || -stepLeast < by && by < stepLeast {
 		return
 	}
-	for _, moments := range []map[balance.ReplicaID]balance.Micros{in.Out, in.Barred, in.Since, in.Memory.Starts} {
+	all := []map[balance.ReplicaID]balance.Micros{in.Out, in.Barred, in.Since, in.Memory.Starts}
+	for _, moments := range all {
 		for id := range moments {
 			moments[id] += by
 		}
--- a/internal/core/starts_test.go
+++ b/internal/core/starts_test.go
@@ -6,9 +6,9 @@
 	"lapislever/balance"
 )
 
-// The wall clock is stepped by an hour, back and forth: a server that has just started is cold, one that was told
-// before the step keeps its age, and one whose start was told by the clock before the step but comes behind it is
-// no older than the last list.
+// The wall clock is stepped by an hour, back and forth: a server that has just started is cold, one that was
+// told before the step keeps its age, and one whose start was told by the clock before the step but comes
+// behind it is no older than the last list.
 func TestStartsOutliveAStepOfTheWallClock(t *testing.T) {
 	const second, hour = balance.Micros(1_000_000), 3600 * balance.Micros(1_000_000)
 	for _, step := range []balance.Micros{-hour, hour, 3 * second, -3 * second} {
--- a/internal/core/writebarrier.go
+++ b/internal/core/writebarrier.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// WriteGrace is how long a write that must not go out any more, and is under way, may take before it is aborted.
-// It is well under the time in which an attempt may still begin after its client has left.
+// WriteGrace is how long a write that must not go out any more, and is under way, may take before it is
+// aborted. It is well under the time in which an attempt may still begin after its client has left.
 const WriteGrace = 50 * time.Millisecond
 
 // Writer puts the bytes of attempts on a socket.
@@ -18,10 +18,10 @@
 	Abort()
 }
 
-// writeBarrier orders the writes that begin a query's attempts against the query's end. A writer enters before
-// the system call and leaves after it; once the barrier is closed nobody enters. A check alone, made before the
-// system call, would not do: the writer's thread may be held up in between for any time, and the query's end
-// would be told while the write is still to come.
+// writeBarrier orders the writes that begin a query's attempts against the query's end. A writer enters
+// before the system call and leaves after it; once the barrier is closed nobody enters. A check alone, made
+// before the system call, would not do: the writer's thread may be held up in between for any time, and the
+// query's end would be told while the write is still to come.
 type writeBarrier struct {
 	closed  atomic.Bool
 	mu      sync.Mutex // guards what follows, and changes of closed
@@ -57,8 +57,8 @@
 	}
 }
 
-// close lets no further write begin and calls drained once none can put out a byte any more: at once where none
-// is under way, else as the last one returns or has been aborted.
+// close lets no further write begin and calls drained once none can put out a byte any more: at once where
+// none is under way, else as the last one returns or has been aborted.
 func (b *writeBarrier) close(drained func()) {
 	b.mu.Lock()
 	b.closed.Store(true)
--- a/internal/grpcnode/conn.go
+++ b/internal/grpcnode/conn.go
@@ -436,8 +436,8 @@
 	})
 }
 
-// endOpening ends the writes of the calls of which all is out that was put there as they began; the caller holds
-// mu.
+// endOpening ends the writes of the calls of which all is out that was put there as they began; the caller
+// holds mu.
 func (c *conn) endOpening(written uint64) {
 	c.opening = slices.DeleteFunc(c.opening, func(s *stream) bool {
 		out := s.opens > 0 && s.opens <= written
@@ -457,7 +457,8 @@
 	c.endOpening(math.MaxUint64)
 }
 
-// markOpening notes up to where the output holds what of the calls just begun was put there; the caller holds mu.
+// markOpening notes up to where the output holds what of the calls just begun was put there; the caller holds
+// mu.
 func (c *conn) markOpening() {
 	for _, s := range c.opening {
 		if s.opens == 0 {
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -2,8 +2,8 @@
 // of descriptors, and HTTP/1.1 on net/textproto. It must never decide anything: it does not know the
 // module, the classes or what a body means, and no goroutine of it ever runs the module.
 //
-// This file holds a client's connection; server.go the listener, ring.go and budget.go what connections are given,
-// socket.go writes that are ordered with other events, http.go the messages and the client side.
+// This file holds a client's connection; server.go the listener, ring.go and budget.go what connections are
+// given, socket.go writes that are ordered with other events, http.go the messages and the client side.
 package net
 
 import (
--- a/internal/net/socket.go
+++ b/internal/net/socket.go
@@ -29,10 +29,10 @@
 	return raw
 }
 
-// WriteMessage has a message put together by begin and writes it. Where the system takes no byte it waits, within
-// the connection's write deadline, and has begin called again; an empty message ends the call. Between begin
-// and the system call there is nothing that may wait or take time. tried is called when a try is over, with
-// whether bytes have gone out: where some have, once the rest has followed or has failed.
+// WriteMessage has a message put together by begin and writes it. Where the system takes no byte it waits,
+// within the connection's write deadline, and has begin called again; an empty message ends the call. Between
+// begin and the system call there is nothing that may wait or take time. tried is called when a try is over,
+// with whether bytes have gone out: where some have, once the rest has followed or has failed.
 func (s *Socket) WriteMessage(begin func() []byte, tried func(out bool)) error {
 	if s.raw == nil {
 		message := begin()
@@ -95,8 +95,8 @@
 	_ = raw.Control(func(fd uintptr) { _ = unix.Shutdown(int(fd), unix.SHUT_RDWR) })
 }
 
-// PeerLeft looks whether the other side of a connection has closed it or its sending side, without waiting and
-// whatever lies unread before the end. Where the system can't tell it is false.
+// PeerLeft looks whether the other side of a connection has closed it or its sending side, without waiting
+// and whatever lies unread before the end. Where the system can't tell it is false.
 func PeerLeft(c net.Conn) bool {
 	raw := rawConn(c)
 	if raw == nil {
--- a/internal/net/socket_test.go
+++ b/internal/net/socket_test.go
@@ -35,8 +35,8 @@
 	}
 }
 
-// While the system takes nothing a message is not begun: it is put together anew for each try, and the last form
-// goes out.
+// While the system takes nothing a message is not begun: it is put together anew for each try, and the last
+// form goes out.
 func TestMessageIsPutTogetherWhenItCanGoOut(t *testing.T) {
 	full, other, filled := fullSocket(t)
 	forms := [][]byte{[]byte("first"), []byte("second")}
@@ -65,7 +65,8 @@
 	}
 }
 
-// After Abort nothing goes out any more, whatever waits to; and a client that has closed is seen to have left.
+// After Abort nothing goes out any more, whatever waits to; and a client that has closed is seen to have
+// left.
 func TestAbortEndsAWriteThatWaits(t *testing.T) {
 	full, other, _ := fullSocket(t)
 	waits, done := make(chan struct{}, 16), make(chan error, 1)
--- a/internal/platform/nodeconn.go
+++ b/internal/platform/nodeconn.go
@@ -1,7 +1,7 @@
 package platform
 
-// The state of one connection to a data node: what is queued on it, who waits for an answer, and how attempts end
-// with it.
+// The state of one connection to a data node: what is queued on it, who waits for an answer, and how attempts
+// end with it.
 
 import (
 	"errors"
--- a/internal/platform/noderead.go
+++ b/internal/platform/noderead.go
@@ -94,7 +94,8 @@
 	}
 }
 
-// expectResponse forgets what is not waited for any more: the connection owes an answer since the oldest part that is.
+// expectResponse forgets what is not waited for any more: the connection owes an answer since the oldest part
+// that is.
 func (c *nodeConn) expectResponse() {
 	var oldest time.Time
 	for _, at := range c.written {
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -1,8 +1,8 @@
 package platform
 
-// The set of data nodes, and which connection a call goes to (nodeconn.go, nodewrite.go, noderead.go). What is here
-// tells the core how each attempt ended, and whether it may have run. It must never retry, choose another node or
-// answer a client.
+// The set of data nodes, and which connection a call goes to (nodeconn.go, nodewrite.go, noderead.go). What
+// is here tells the core how each attempt ended, and whether it may have run. It must never retry, choose
+// another node or answer a client.
 
 import (
 	"context"
--- a/internal/platform/nodewrite.go
+++ b/internal/platform/nodewrite.go
@@ -1,6 +1,7 @@
 package platform
 
-// The writer of a connection to a data node: it alone puts bytes out, and knows whether an attempt's last byte went.
+// The writer of a connection to a data node: it alone puts bytes out, and knows whether an attempt's last
+// byte went.
 
 import (
 	"encoding/binary"
@@ -13,8 +14,8 @@
 	lnet "lapislever/internal/net"
 )
 
-// encodeCall encodes a call as it is at this moment, with those of its parts that are still waited for and may
-// begin. For each of these a write has begun (Attempt.BeginWrite). held are those that may not begin.
+// encodeCall encodes a call as it is at this moment, with those of its parts that are still waited for and
+// may begin. For each of these a write has begun (Attempt.BeginWrite). held are those that may not begin.
 func (c *nodeConn) encodeCall(b []byte, call []*core.Attempt, now time.Time) (frame []byte, carried,
 	held []*core.Attempt) {
 	b = append(b[:0], 0, 0, 0, 0, '1')
@@ -69,8 +70,8 @@
 	c.writeLoop(conn)
 }
 
-// writeLoop writes frame by frame, each within its limit, so that a node that does not read holds up nothing but
-// its own connection.
+// writeLoop writes frame by frame, each within its limit, so that a node that does not read holds up nothing
+// but its own connection.
 func (c *nodeConn) writeLoop(conn net.Conn) {
 	limit := time.Duration(idleShare * float64(c.n.conf.Load().ConnIdle))
 	idle := time.NewTimer(limit)
@@ -118,8 +119,8 @@
 	written bool            // begin has found something to write
 }
 
-// begin encodes the frame as it is to be at this moment, just before the system call, and begins the writes of
-// its parts. It returns nil where there is nothing to write.
+// begin encodes the frame as it is to be at this moment, just before the system call, and begins the writes
+// of its parts. It returns nil where there is nothing to write.
 func (w *frameWriter) begin() []byte {
 	c, now := w.c, time.Now()
 	c.mu.Lock()
@@ -156,8 +157,8 @@
 	return w.buf
 }
 
-// abortWrite aborts the system call that the writer is in, if it has still not returned after the time given. What
-// is in it must not go out any more by then: its thread may be held up. The caller holds mu.
+// abortWrite aborts the system call that the writer is in, if it has still not returned after the time given.
+// What is in it must not go out any more by then: its thread may be held up. The caller holds mu.
 func (c *nodeConn) abortWrite(after time.Duration) {
 	call := c.tries
 	time.AfterFunc(after, func() {
@@ -218,9 +219,9 @@
 	lnet.Abort(c.socket)
 }
 
-// markWritten books that the frame which the writer has begun is out, or that it never will be, and tells whether
-// the connection has ended. Only the writer knows: while its last byte may just be going out nobody else says
-// whether the frame's parts may have run.
+// markWritten books that the frame which the writer has begun is out, or that it never will be, and tells
+// whether the connection has ended. Only the writer knows: while its last byte may just be going out nobody
+// else says whether the frame's parts may have run.
 func (c *nodeConn) markWritten(err error) bool {
 	c.mu.Lock()
 	if c.dead {
--- a/internal/platform/ordering_test.go
+++ b/internal/platform/ordering_test.go
@@ -1,12 +1,12 @@
 package platform
 
-// Incident 9e0aaf. Seen: data nodes got the first byte of a part 0.2 to 0.6 s after the coordinator itself had
-// given the request its final answer, on busy machines and under faults that hold single threads up.
-// How: a connection's writer asked whether the attempt may begin, then read clocks, set a deadline and made
-// the system call. Held up in between, it wrote what the core had ended meanwhile.
-// Cause: the check and the write were two steps, and nothing ordered the answer behind a write under way.
-// Proof: here the writer is held at the very write, and the answer comes all the same; with real processes
-// the same is done by a tracer that holds one thread in its system call (internal/rig, hold_test.go).
+// Incident 9e0aaf. Seen: data nodes got the first byte of a part 0.2 to 0.6 s after the coordinator itself
+// had given the request its final answer, on busy machines and under faults that hold single threads up. How:
+// a connection's writer asked whether the attempt may begin, then read clocks, set a deadline and made the
+// system call. Held up in between, it wrote what the core had ended meanwhile. Cause: the check and the write
+// were two steps, and nothing ordered the answer behind a write under way. Proof: here the writer is held at
+// the very write, and the answer comes all the same; with real processes the same is done by a tracer that
+// holds one thread in its system call (internal/rig, hold_test.go).
 
 import (
 	"net"
@@ -95,13 +95,14 @@
 		Parts: []core.PartSpec{{Shard: 0, Weight: 1}}}
 }
 
-// A query's time ends while the writer is held at its attempt's first byte. Its answer is given only once that
-// byte can't go out any more, and soon: the writer may be held for long.
+// A query's time ends while the writer is held at its attempt's first byte. Its answer is given only once
+// that byte can't go out any more, and soon: the writer may be held for long.
 func TestNoAttemptBeginsAfterTheFinalAnswer(t *testing.T) {
 	k, n, held := coreWithNode(t)
 	late := make(chan bool, 1)
 	begun := time.Now()
-	k.Submit(heldQuery(n, "q1", 1200*time.Millisecond, finalFunc(func(core.Final) { late <- held.mayStillWrite() })))
+	answered := finalFunc(func(core.Final) { late <- held.mayStillWrite() })
+	k.Submit(heldQuery(n, "q1", 1200*time.Millisecond, answered))
 	awaitWrite(t, held)
 	select {
 	case could := <-late:
@@ -114,8 +115,8 @@
 	t.Logf("answered after %v", time.Since(begun))
 }
 
-// A client leaves while the writer is held: within the 0.1 s in which an attempt may still begin, the write is
-// made impossible.
+// A client leaves while the writer is held: within the 0.1 s in which an attempt may still begin, the write
+// is made impossible.
 func TestNoAttemptBeginsLongAfterTheClientHasLeft(t *testing.T) {
 	k, n, held := coreWithNode(t)
 	q := heldQuery(n, "q1", 3*time.Second, finalFunc(func(core.Final) {}))
--- a/internal/promql/front.go
+++ b/internal/promql/front.go
@@ -778,8 +778,8 @@
 	return balance.OK, core.Value{Data: r}
 }
 
-// begin begins the request's write on a connection; it may not where the attempt was given up or must not begin
-// any more.
+// begin begins the request's write on a connection; it may not where the attempt was given up or must not
+// begin any more.
 func (fl *flight) begin(c *lnet.Client, now time.Time) bool {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
--- a/internal/promql/query.go
+++ b/internal/promql/query.go
@@ -45,8 +45,8 @@
 	plan             plan
 }
 
-// onGrid tells that a query asks for the point: start + k x step, up to the end. Where the step does not divide the
-// range the end is not among them.
+// onGrid tells that a query asks for the point: start + k x step, up to the end. Where the step does not
+// divide the range the end is not among them.
 func (q *rangeQuery) onGrid(t int64) bool {
 	return t >= q.start && t <= q.end && (t-q.start)%q.step == 0
 }
--- a/internal/rig/hold_test.go
+++ b/internal/rig/hold_test.go
@@ -1,6 +1,7 @@
 package rig
 
-// Incident 9e0aaf with real processes: see internal/platform/ordering_test.go for what it was and how it came.
+// Incident 9e0aaf with real processes: see internal/platform/ordering_test.go for what it was and how it
+// came.
 
 import (
 	"fmt"
--- a/internal/rig/limit_test.go
+++ b/internal/rig/limit_test.go
@@ -40,10 +40,11 @@
 	return at
 }
 
-// metByLimit counts the queries of a span that the limit let in at a member, and how many a bucket with nine tenths
-// of the limit would have let in of the same. Where there are always more than that, it is nine tenths of the
-// limit. What the fleet turns away as overloaded, as on a busy machine, never comes to the limit: counted against
-// it, which this test did, it failed with the whole share in hand (75 of 90 let in, 39 turned away before).
+// metByLimit counts the queries of a span that the limit let in at a member, and how many a bucket with nine
+// tenths of the limit would have let in of the same. Where there are always more than that, it is nine tenths
+// of the limit. What the fleet turns away as overloaded, as on a busy machine, never comes to the limit:
+// counted against it, which this test did, it failed with the whole share in hand (75 of 90 let in, 39 turned
+// away before).
 func (r *Rig) metByLimit(member string, from, to float64) (n int, most float64) {
 	asked := map[string]float64{}
 	type met struct {
--- a/internal/rig/soak_test.go
+++ b/internal/rig/soak_test.go
@@ -19,9 +19,9 @@
 	"lapislever/internal/standin"
 )
 
-// The soak: one coordinator a seed, under faults of its data nodes and of its system calls, signals in series and,
-// on some seeds, a crowd of idle clients. Clients use their connections until the earliest moment at which the
-// coordinator may be killed after SIGTERM. LAPISLEVER_SOAK=FIRST-LAST plays other seeds than CI's.
+// The soak: one coordinator a seed, under faults of its data nodes and of its system calls, signals in series
+// and, on some seeds, a crowd of idle clients. Clients use their connections until the earliest moment at
+// which the coordinator may be killed after SIGTERM. LAPISLEVER_SOAK=FIRST-LAST plays other seeds than CI's.
 const (
 	soakSeeds   = 16
 	soakAtOnce  = 4
@@ -34,16 +34,17 @@
 	leftSlack = 150 * time.Millisecond
 )
 
-// soakFaults are the faults of one seed's system calls: a thread held for as long as may be between its clock and
-// its write, short reads and writes, and calls that fail as Linux documents them.
+// soakFaults are the faults of one seed's system calls: a thread held for as long as may be between its clock
+// and its write, short reads and writes, and calls that fail as Linux documents them.
 func soakFaults(seed uint64) *SyscallFaults {
 	fail := func(number uint64, errno syscall.Errno) SyscallError {
 		return SyscallError{Number: number, Errno: errno, Share: 0.01}
 	}
 	return &SyscallFaults{Seed: seed, HoldShare: 0.1, HoldLeast: 20 * time.Millisecond,
 		HoldMost: 150 * time.Millisecond, ShortShare: 0.03, Errors: []SyscallError{
-			fail(unix.SYS_READ, unix.EINTR), fail(unix.SYS_WRITE, unix.EINTR), fail(unix.SYS_ACCEPT4, unix.ECONNABORTED),
-			fail(unix.SYS_ACCEPT4, unix.ENFILE), fail(unix.SYS_ACCEPT4, unix.ENOBUFS), fail(unix.SYS_ACCEPT4, unix.EINTR),
+			fail(unix.SYS_READ, unix.EINTR), fail(unix.SYS_WRITE, unix.EINTR),
+			fail(unix.SYS_ACCEPT4, unix.ECONNABORTED), fail(unix.SYS_ACCEPT4, unix.ENFILE),
+			fail(unix.SYS_ACCEPT4, unix.ENOBUFS), fail(unix.SYS_ACCEPT4, unix.EINTR),
 			fail(unix.SYS_SOCKET, unix.ENFILE), fail(unix.SYS_SOCKET, unix.ENOBUFS),
 			fail(unix.SYS_CONNECT, unix.EADDRNOTAVAIL), fail(unix.SYS_CONNECT, unix.ENETUNREACH),
 			fail(unix.SYS_CONNECT, unix.ETIMEDOUT), fail(unix.SYS_CONNECT, unix.EHOSTUNREACH)}}
@@ -281,7 +282,8 @@
 	t.Logf("seed %d: crowd %v, %d requests: %v", seed, s.crowded, len(s.requests), ends)
 }
 
-// No request is lost, repeated behind its end or told a time that it has not, whatever of this comes together.
+// No request is lost, repeated behind its end or told a time that it has not, whatever of this comes
+// together.
 func TestSoak(t *testing.T) {
 	first, last := uint64(1), uint64(soakSeeds)
 	if span := os.Getenv("LAPISLEVER_SOAK"); span != "" {
--- a/internal/rig/syscalls.go
+++ b/internal/rig/syscalls.go
@@ -1,10 +1,10 @@
 package rig
 
 // System call faults: a tracer (ptrace) holds single threads of the program at the entry of a write, shortens
-// reads and writes, and has calls fail as their manual pages say. The tracer is a process beside the caller's, as
-// whoever traces is also told of the end of what it traces. The program is started by way of this test's own
-// executable, which sets a filter (seccomp) on itself that has the calls in question stop, and then becomes the
-// program: all other calls run at full speed.
+// reads and writes, and has calls fail as their manual pages say. The tracer is a process beside the
+// caller's, as whoever traces is also told of the end of what it traces. The program is started by way of
+// this test's own executable, which sets a filter (seccomp) on itself that has the calls in question stop,
+// and then becomes the program: all other calls run at full speed.
 
 import (
 	"encoding/json"
@@ -129,7 +129,8 @@
 	return t.run()
 }
 
-// becomeTraced waits for the tracer, has the calls that it looks at stop from now on, and becomes the program.
+// becomeTraced waits for the tracer, has the calls that it looks at stop from now on, and becomes the
+// program.
 func becomeTraced(program string) error {
 	runtime.LockOSThread()
 	for end := time.Now().Add(tracerWait); !isTraced(); time.Sleep(time.Millisecond) {
