--- a/balance/api.go
+++ b/balance/api.go
@@ -168,7 +168,7 @@
 func (o Outcome) String() string {
 	names := [...]string{Error: "error", OK: "ok", Busy: "busy", TimedOut: "timed out",
 		NoConnection: "no connection",
-		Reset: "reset", Cancelled: "cancelled", NotSent: "not sent", Spoilt: "spoilt"}
+		Reset:        "reset", Cancelled: "cancelled", NotSent: "not sent", Spoilt: "spoilt"}
 	if int(o) < len(names) {
 		return names[o]
 	}
