Count and log what is carried out late, and name requests and lists in the log

Change: internal/delay records replies behind their decision, attempts' bytes behind the last look whether they may begin, and Steps behind their time, from 50 ms on; a line each, and counts at GET /admin/delays. Each is noted behind the action. 'reply not written' names its request, a list that is taken in its version and how long its call was out, and bytes that come behind a connection's end are told.

Measured: tests of delay, net, core, admin and platform pass.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -84,6 +84,9 @@
 	Wait       time.Duration // for all who are alive
 }
 
+// Delayed is a State that counts what was carried out late, to be shown as JSON.
+type Delayed interface{ Delays() any }
+
 // Gated is a State with a gate, or nil where there is none.
 type Gated interface{ Gate() Gate }
 
@@ -299,6 +302,10 @@
 	if d.admission(r, x, say) || d.fleet(r, x, say) {
 		return nil
 	}
+	if s, ok := d.state.(Delayed); ok && r.Path == "/admin/delays" && r.Method == "GET" {
+		show(x, say, s.Delays())
+		return nil
+	}
 	method := "GET"
 	if r.Path == "/admin/cordon" || r.Path == "/admin/uncordon" {
 		method = "POST"
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -21,6 +21,8 @@
 	return Figures{OK: map[string]int64{"C": 812}, Active: 14}
 }
 
+func (s *state) Delays() any { return map[string]int{"late": 2} }
+
 // Cordon knows one data node, and one that it gets to too late.
 func (s *state) Cordon(id string, out bool, _ time.Duration) error {
 	s.calls = append(s.calls, fmt.Sprint(id, out))
@@ -55,6 +57,7 @@
 		{"GET", "/admin/stats", "", 200, `{"ok":{"C":812},"shed":null,"errors":null,"tries":0,"active":14,` +
 			`"pool_size":0,"pool_ejected":0,"config_applied":0,"config_rejected":0}`},
 		{"POST", "/admin/stats", "", 405, ""},
+		{"GET", "/admin/delays", "", 200, `{"late":2}`},
 		{"GET", "/admin", "", 404, ""},
 		{"GET", "/up", "", 404, ""},
 		{"POST", "/admin/cordon", "s-1", 200, ""},
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"lapislever/balance"
+	"lapislever/internal/delay"
 	"lapislever/internal/verdict"
 )
 
@@ -94,6 +95,8 @@
 	Named func(id balance.ReplicaID) (string, bool)
 	// Listed is called after the first Step that knew a server.
 	Listed func()
+	// Delays hears of Steps that came late; nil: nobody does.
+	Delays *delay.Recorder
 }
 
 // Core is the owner of the module.
@@ -499,8 +502,13 @@
 
 // step runs the module once and carries out its actions.
 func (c *Core) step(now balance.Micros) {
-	c.now = now
 	var overdue []*Query
+	late := time.Duration(0)
+	if due := c.nextTime(); due > 0 && c.now > 0 {
+		late = micros(now - max(due, c.now))
+	}
+	defer func() { c.cfg.Delays.Note(delay.Step, late, "open", len(c.queries)) }()
+	c.now = now
 	for len(c.timers) > 0 && c.timers[0].at <= now {
 		t := heap.Pop(&c.timers).(timer)
 		switch {
@@ -558,6 +566,7 @@
 		return
 	}
 	c.end(q)
+	f.Decided = c.moment(c.now)
 	c.reply(q, f)
 }
 
--- a/internal/core/query.go
+++ b/internal/core/query.go
@@ -34,6 +34,7 @@
 	Overdue    bool          // the time was over before there was a decision
 	Why        string        // of a refusal that the module did not make
 	NameTaken  bool          // an open query bears the same name
+	Decided    time.Time     // zero: not by a Step
 }
 
 // Client hears the final answer of its query, exactly once, from any goroutine, and must not block.
--- /dev/null
+++ b/internal/delay/delay_test.go
@@ -0,0 +1,26 @@
+package delay
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestOnlyWhatIsLateIsRecorded(t *testing.T) {
+	var log bytes.Buffer
+	r := NewRecorder(slog.New(slog.NewTextHandler(&log, nil)))
+	r.Note(Reply, Notable-time.Millisecond, "query", "q1")
+	r.Note(Reply, 70*time.Millisecond, "query", "q2")
+	r.Note(Reply, 60*time.Millisecond, "query", "q3")
+	if got, want := r.Figures()[Reply], (Figures{Late: 2, LongestMS: 70}); got != want {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+	if text := log.String(); strings.Contains(text, "q1") || !strings.Contains(text, "action=reply took=70ms query=q2") {
+		t.Errorf("log: %s", text)
+	}
+	if (*Recorder)(nil).Figures() != nil {
+		t.Error("none has figures")
+	}
+}
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"lapislever/internal/admission"
+	"lapislever/internal/delay"
 )
 
 // Sizes and limits of the network code.
@@ -400,10 +401,14 @@
 		}
 		end := req.Close || resp.Close || c.s.closing.Load() || !c.held || c.turned
 		if err := c.write(resp, end, req.Method == "HEAD"); err != nil {
-			c.s.log.Info("reply not written", "client", c.c.RemoteAddr(), "path", req.Path, "status", resp.Status,
-				"err", err)
+			c.s.log.Info("reply not written", "client", c.c.RemoteAddr(), "path", req.Path, "query", req.ID(),
+				"status", resp.Status, "err", err)
 			return
 		}
+		if !resp.Decided.IsZero() {
+			c.s.Delays.Note(delay.Reply, time.Since(resp.Decided), "client", c.c.RemoteAddr(), "query", req.ID(),
+				"status", resp.Status)
+		}
 		if end {
 			c.linger()
 			return
@@ -446,7 +451,7 @@
 				continue
 			}
 			c.s.log.Info("client left with a request out", "client", c.c.RemoteAddr(), "path", req.Path,
-				"query", req.Header.Get("X-Call-Id"), "after", time.Since(req.At), "err", err)
+				"query", req.ID(), "after", time.Since(req.At), "err", err)
 			if gone != nil {
 				gone()
 			}
@@ -473,8 +478,12 @@
 		_ = t.CloseWrite()
 	}
 	c.mu.Lock()
-	c.in.Discard(c.in.Len())
+	unread := c.in.Len()
+	c.in.Discard(unread)
 	c.mu.Unlock()
+	if unread > 0 {
+		c.s.log.Info("bytes discarded behind the end of a connection", "client", c.c.RemoteAddr(), "bytes", unread)
+	}
 	_ = c.c.SetReadDeadline(time.Unix(1, 0)) // from here on fill throws away what comes
 	begun := time.Now()
 	tick := time.NewTicker(lingerQuiet / 5)
--- a/internal/net/http.go
+++ b/internal/net/http.go
@@ -47,6 +47,8 @@
 	Header [][2]string
 	Body   []byte
 	Close  bool
+	// Decided is when the answer was given, for the record of replies that are late; zero: nobody says.
+	Decided time.Time
 }
 
 // Reason is the phrase of a status.
@@ -557,3 +559,6 @@
 		}
 	}
 }
+
+// ID is the request's id, as its client gave it.
+func (r *Request) ID() string { return r.Header.Get("X-Call-Id") }
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sys/unix"
 
 	"lapislever/internal/admission"
+	"lapislever/internal/delay"
 )
 
 // Exchange is one request that waits for its one reply.
@@ -60,6 +61,8 @@
 	TurnedAway func(r *Request)
 	// Advise, if set, is what such a client may be told of when to come back; 0: nothing.
 	Advise func(after time.Duration) time.Duration
+	// Delays, if set, hears of replies that were written late.
+	Delays *delay.Recorder
 	// Keeper, if set, says who is let in, and Secure, if set, makes the connection one by TLS. Both are set
 	// before Serve.
 	Keeper *Keeper
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -243,9 +243,12 @@
 func (c *client) Final(f core.Final) {
 	switch f.Ending {
 	case core.Answered:
-		c.reply(Answer(f, c.log))
+		r := Answer(f, c.log)
+		r.Decided = f.Decided
+		c.reply(r)
 	case core.Refused:
 		r := Refusal(f.RetryAfter)
+		r.Decided = f.Decided
 		if f.Why != "" {
 			r.Body = []byte("refused for now: " + f.Why + "\n")
 		}
@@ -258,7 +261,7 @@
 		case f.NameTaken:
 			status = 409
 		}
-		c.reply(lnet.Response{Status: status, Body: []byte("failed\n"), Close: f.NameTaken})
+		c.reply(lnet.Response{Status: status, Body: []byte("failed\n"), Close: f.NameTaken, Decided: f.Decided})
 	}
 }
 
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -16,6 +16,7 @@
 
 	"lapislever/balance"
 	"lapislever/internal/core"
+	"lapislever/internal/delay"
 	lnet "lapislever/internal/net"
 )
 
@@ -47,6 +48,7 @@
 	budget *lnet.Budget
 	post   func(core.Event)
 	count  *core.Counts
+	delays *delay.Recorder
 	mu     sync.Mutex // guards nodes and each node's address and connections
 	nodes  map[balance.ReplicaID]*node
 }
--- a/internal/platform/nodewrite.go
+++ b/internal/platform/nodewrite.go
@@ -11,6 +11,7 @@
 
 	"lapislever/balance"
 	"lapislever/internal/core"
+	"lapislever/internal/delay"
 	lnet "lapislever/internal/net"
 )
 
@@ -115,6 +116,7 @@
 	c       *nodeConn
 	buf     []byte
 	carried []*core.Attempt // with a write under way
+	began   time.Time       // when these were last found to be allowed to begin
 	held    []*core.Attempt // that may not begin any more, and of which the core has not heard
 	written bool            // begin has found something to write
 }
@@ -125,7 +127,7 @@
 	c, now := w.c, time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	w.carried, w.written = nil, false
+	w.carried, w.written, w.began = nil, false, now
 	if c.dead || len(c.frames) == 0 {
 		return nil
 	}
@@ -199,6 +201,7 @@
 	case err != nil:
 	case w.written:
 		w.c.n.count.Tries.Add(int64(len(w.carried)))
+		w.noteDelay(time.Now())
 	case w.c.ended(): // while the system took nothing
 		err = net.ErrClosed
 	default:
@@ -207,6 +210,14 @@
 	return w.c.markWritten(err)
 }
 
+// noteDelay records a call that was written late.
+func (w *frameWriter) noteDelay(now time.Time) {
+	if took := now.Sub(w.began); took >= delay.Notable && len(w.carried) > 0 {
+		w.c.n.delays.Note(delay.Attempt, took, "node", w.c.node.name, "part", wireID(w.carried[0]),
+			"parts", len(w.carried))
+	}
+}
+
 func (c *nodeConn) ended() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -18,6 +18,7 @@
 	"lapislever/balance"
 	"lapislever/internal/admin"
 	"lapislever/internal/core"
+	"lapislever/internal/delay"
 	"lapislever/internal/fleet"
 	lnet "lapislever/internal/net"
 	"lapislever/internal/verdict"
@@ -68,6 +69,7 @@
 	front     *Front
 	server    *lnet.Server
 	nodes     *Nodes
+	delays    *delay.Recorder
 	peers     *peers
 	fleet     *fleet.Fleet // nil: there is none
 	failed    chan error   // hears once why this process must not go on serving
@@ -107,12 +109,15 @@
 		counts.Class(name)
 	}
 	k.nodes = NewNodes(cfg, budget, log, counts, post)
+	k.delays = delay.NewRecorder(log)
+	k.nodes.delays = k.delays
 	backends := []core.Backend{k.nodes}
 	for _, x := range extras {
 		backends = append(backends, x.Backend())
 	}
 	k.front = NewFront(cfg, log, k.nodes)
 	conf := core.Config{Settings: cfg.Module, Seed: cfg.seed(), Backends: backends, Log: log, Counts: counts,
+		Delays: k.delays,
 		Listed: func() { close(k.listed) },
 		Named:  func(id balance.ReplicaID) (string, bool) { return k.nodeName(uint64(id)) }}
 	var err error
@@ -153,6 +158,7 @@
 	}
 	if k.server != nil {
 		k.server.TurnedAway, k.server.Advise = k.front.TurnAway, k.core.Advise
+		k.server.Delays = k.delays
 	}
 	go k.core.Run()
 	k.upgrade = &upgrade{k: k, path: socketPath(cfg), budget: budget, all: most, heard: make(chan struct{}, 1)}
@@ -315,6 +321,9 @@
 	return f
 }
 
+// Delays are the actions that were carried out late.
+func (d doorState) Delays() any { return d.k.delays.Figures() }
+
 // Gate says who is let in; nil where only the budget does.
 func (d doorState) Gate() admin.Gate {
 	for _, x := range d.k.extras {
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -189,7 +189,12 @@
 					w.log.Info("discovery answers again", "address", addr, "failed", failed)
 				}
 				failed, whole, renewed, due = 0, false, false, false
-				if told := w.take(r.list); !told && time.Since(begun) < watchRetry {
+				told := w.take(r.list)
+				if told {
+					w.log.Info("list taken in", "version", r.list.Seq, "whole", r.list.Whole, "entries",
+						len(r.list.Hosts), "asked", time.Since(begun))
+				}
+				if !told && time.Since(begun) < watchRetry {
 					again = time.After(watchRetry) // it does not wait for news
 				}
 				continue
