Reproduce answers that do not come, as failing tests with held threads

Seen by callers: a request that was refused in time had no answer by the end of its time and 0.5 s behind it.

Change: the tracer of internal/rig holds any kind of call that it knows (the write of an attempt, of a reply, of a query to discovery or of the log; a read, an accept, a connect, the wait for events, the look whether a client has left), and sees each look at a clock: the program is started without the vDSO, threads are held behind a look, and the wall clock can be stepped. Discovery's stand-in tells changes, so that drains are checked.

--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"net/url"
 	"os"
 	"path/filepath"
 	"slices"
@@ -86,6 +85,7 @@
 	links   map[[2]string]func(Fault) // by from and to
 	closers []func()
 	nodes   []*standin.Node
+	disco   *discovery
 	ill     []atomic.Int32 // of nodes: an Illness
 	slowBy  atomic.Int64   // of those that are slow
 	stop    chan struct{}
@@ -243,51 +243,6 @@
 	}
 }
 
-type host struct {
-	Host   string  `json:"host"`
-	Dial   string  `json:"dial"`
-	Site   string  `json:"site"`
-	Class  string  `json:"class"`
-	Block  int     `json:"block"`
-	Health string  `json:"health"`
-	Share  float64 `json:"share"`
-	Born   float64 `json:"born_ms"`
-}
-
-// openDiscovery starts the stand-in for discovery. Each member reaches the nodes over relays of its own, and
-// is known by the port that it asks at.
-func (r *Rig) openDiscovery() error {
-	for i := range 64 {
-		l, err := lnet.Listen(r.host(250, portDisco+i), lnet.NewBudget(32, 0), standin.Quiet(),
-			func(q *lnet.Request, x *lnet.Exchange) func() {
-				if v, _ := url.ParseQuery(q.Query); v.Has("index") { // nothing changes
-					wait, _ := strconv.Atoi(v.Get("wait"))
-					time.AfterFunc(time.Duration(wait)*time.Millisecond, func() {
-						x.Reply(lnet.Response{Status: 200, Type: "application/json",
-							Body: []byte(`{"seq":1,"whole":false,"hosts":[]}`)})
-					})
-					return nil
-				}
-				list := []host{}
-				for j := range r.nodes {
-					list = append(list, host{Host: fmt.Sprintf("n%d", j), Dial: r.relayHost(1+i, portNode+1000+j),
-						Site: zones[j/2%2], Block: j % 2, Health: "in_service", Share: 1})
-				}
-				b, _ := json.Marshal(map[string]any{"seq": 1, "whole": true, "hosts": list})
-				x.Reply(lnet.Response{Status: 200, Type: "application/json", Body: b})
-				return nil
-			})
-		if err != nil {
-			return err
-		}
-		go l.Serve()
-		r.closers = append(r.closers, l.StopListening)
-	}
-	return nil
-}
-
-var zones = [2]string{"praha", "brno"}
-
 // Add makes one more member, with its relays; it is not started.
 func (r *Rig) Add() (*Member, error) {
 	i := len(r.members)
--- a/internal/rig/hold_test.go
+++ b/internal/rig/hold_test.go
@@ -63,17 +63,17 @@
 }
 
 // askOnce asks one query on a connection of its own. One that leaves closes it early.
-func askOnce(front, query string, leave bool) ending {
+func askOnce(front, query string, budget time.Duration, leave bool) ending {
 	c, err := lnet.Dial(front, time.Second, 1<<20)
 	if err != nil {
 		return ending{query: query, err: err}
 	}
 	defer c.Close()
-	wait := heldBudget + 5*time.Second
+	wait := budget + 5*time.Second
 	if leave {
-		wait = heldBudget / 4
+		wait = budget / 4
 	}
-	head := [][2]string{{"X-Call-Id", query}, {"X-Budget", fmt.Sprint(heldBudget.Seconds())}}
+	head := [][2]string{{"X-Call-Id", query}, {"X-Budget", fmt.Sprint(budget.Seconds())}}
 	begun := time.Now()
 	_, err = c.Do("POST", "/rate-check", front, head,
 		[]byte(`{"slices":[{"slice":0,"mass":0.5},{"slice":1,"mass":0.5}],"filter":"c41e77d0"}`), begun.Add(wait))
@@ -91,7 +91,8 @@
 	got := &arrivals{at: map[string][]time.Time{}}
 	var served atomic.Int64
 	r := open(t, Config{Members: 1, Seed: 61, Alone: true,
-		Faults: &SyscallFaults{Seed: 61, HoldShare: 0.12, HoldLeast: heldLeast, HoldMost: heldMost},
+		Faults: &SyscallFaults{Seed: 61, Holds: []SyscallHold{
+			{Call: HeldAttempt, Share: 0.12, Least: heldLeast, Most: heldMost}}},
 		Answer: func(_ int, p standin.Part) (string, string) {
 			got.note(p.ID)
 			if served.Add(1)%7 == 0 {
@@ -107,7 +108,7 @@
 	endings := make(chan ending, asked)
 	var out sync.WaitGroup
 	for i := range asked {
-		out.Go(func() { endings <- askOnce(m.Front(), fmt.Sprintf("h%03d", i), i%5 == 4) })
+		out.Go(func() { endings <- askOnce(m.Front(), fmt.Sprintf("h%03d", i), heldBudget, i%5 == 4) })
 		time.Sleep(30 * time.Millisecond)
 	}
 	out.Wait()
--- /dev/null
+++ b/internal/rig/late_test.go
@@ -0,0 +1,143 @@
+package rig
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"lapislever/internal/standin"
+)
+
+// drainGrace is how long after discovery's word a server that drains may still get new work.
+const drainGrace = 550 * time.Millisecond
+
+// latePlay is a play of one coordinator under faults in which every request, client's end and drain is held
+// against the rules.
+type latePlay struct {
+	t      *testing.T
+	rig    *Rig
+	got    *arrivals
+	served atomic.Int64
+	mu     sync.Mutex
+	budget time.Duration // what a client waits for
+	drains []string      // parts that came to a server behind its grace
+}
+
+func playLate(t *testing.T, seed uint64, budget time.Duration, faults *SyscallFaults) *latePlay {
+	p := &latePlay{t: t, budget: budget, got: &arrivals{at: map[string][]time.Time{}}}
+	p.rig = open(t, Config{Members: 1, Seed: seed, Nodes: 6, Alone: true, Faults: faults, Answer: p.answer})
+	if !p.rig.Member("m00").serves(patience) {
+		t.Fatal("the coordinator does not serve")
+	}
+	return p
+}
+
+// answer serves a part, but for some that are never answered, so that there are hedged requests and retries.
+func (p *latePlay) answer(node int, part standin.Part) (string, string) {
+	p.got.note(part.ID)
+	if for_ := p.rig.Draining(node); for_ > drainGrace+onTheWay {
+		p.mu.Lock()
+		p.drains = append(p.drains, fmt.Sprintf("%s at n%d, %v after the word", part.ID, node, for_))
+		p.mu.Unlock()
+	}
+	if p.served.Add(1)%7 == 0 {
+		return "", ""
+	}
+	return "S", "v:" + part.ID
+}
+
+// drainInTurn has one server drain after the other until it is told to stop.
+func (p *latePlay) drainInTurn(stop <-chan struct{}, rng *rand.Rand) {
+	for node := 0; ; node = (node + 1) % 4 { // the last two stay, so that each shard has a server
+		p.rig.Drain(node)
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(800+rng.IntN(300)) * time.Millisecond):
+		}
+		p.rig.Restore(node)
+	}
+}
+
+// ask asks a number of requests, some of whose clients leave early, and checks how each ended.
+func (p *latePlay) ask(asked int, every, longest time.Duration) {
+	stop := make(chan struct{})
+	var draining sync.WaitGroup
+	draining.Go(func() { p.drainInTurn(stop, rand.New(rand.NewPCG(p.rig.cfg.Seed, 5))) })
+	endings := make(chan ending, asked)
+	var out sync.WaitGroup
+	for i := range asked {
+		out.Go(func() { endings <- askOnce(p.rig.Member("m00").Front(), fmt.Sprintf("h%04d", i), p.budget, i%5 == 4) })
+		time.Sleep(every)
+	}
+	out.Wait()
+	close(stop)
+	draining.Wait()
+	time.Sleep(longest + onTheWay) // whatever is held has come by then
+	close(endings)
+	p.check(endings)
+}
+
+func (p *latePlay) check(endings <-chan ending) {
+	count := map[string]int{}
+	fault := func(kind, format string, args ...any) {
+		count[kind]++
+		p.t.Errorf("%s: %s", kind, fmt.Sprintf(format, args...))
+	}
+	for e := range endings {
+		bound := e.at.Add(onTheWay)
+		switch {
+		case e.err != nil:
+			fault("no answer", "%s: %v", e.query, e.err)
+			continue
+		case e.left:
+			count["left"]++
+			bound = bound.Add(leftGrace)
+		default:
+			count["answered"]++
+			if e.took > p.budget+answerSlack+onTheWay {
+				fault("late answer", "%s after %v", e.query, e.took)
+			}
+		}
+		if n, most := p.got.after(e.query, bound); n > 0 {
+			fault("sent on late", "%s: %d attempts up to %v after its end (client left: %v)", e.query, n,
+				most+bound.Sub(e.at), e.left)
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, text := range p.drains {
+		fault("drain", "%s", text)
+	}
+	p.t.Log(count)
+	if p.t.Failed() && os.Getenv("LAPISLEVER_KEEP_LOG") != "" {
+		log, _ := os.ReadFile(p.rig.Member("m00").LogPath())
+		_ = os.WriteFile(os.Getenv("LAPISLEVER_KEEP_LOG"), log, 0o600)
+	}
+}
+
+const (
+	shortBudget = 232 * time.Millisecond // what a client of the incident's class waits for
+	lateAsked   = 150
+	lateEvery   = 30 * time.Millisecond
+)
+
+// Incident 2157b7: a request was refused in time, and its client never heard of it. The thread that writes the
+// reply is held in its system call, for longer than the client waits.
+func TestAReplyWhoseWriterIsHeldReachesItsClient(t *testing.T) {
+	p := playLate(t, 61, shortBudget, &SyscallFaults{Seed: 61, Holds: []SyscallHold{
+		{Call: HeldReply, Share: 0.15, Least: heldLeast, Most: heldMost}}})
+	p.ask(lateAsked, lateEvery, heldMost)
+}
+
+// Threads are held just behind a look at a clock, each for a short time. One that is held must not hold up the
+// others: a process in which only one may run at a time stands still with it.
+func TestAThreadThatIsHeldHoldsUpNoOther(t *testing.T) {
+	p := playLate(t, 62, shortBudget, &SyscallFaults{Seed: 62, Clock: &ClockFaults{Share: 0.01,
+		Least: 10 * time.Millisecond, Most: 150 * time.Millisecond}})
+	p.ask(lateAsked, lateEvery, 150*time.Millisecond)
+}
--- a/internal/rig/soak_test.go
+++ b/internal/rig/soak_test.go
@@ -40,14 +40,14 @@
 	fail := func(number uint64, errno syscall.Errno) SyscallError {
 		return SyscallError{Number: number, Errno: errno, Share: 0.01}
 	}
-	return &SyscallFaults{Seed: seed, HoldShare: 0.1, HoldLeast: 20 * time.Millisecond,
-		HoldMost: 150 * time.Millisecond, ShortShare: 0.03, Errors: []SyscallError{
-			fail(unix.SYS_READ, unix.EINTR), fail(unix.SYS_WRITE, unix.EINTR),
-			fail(unix.SYS_ACCEPT4, unix.ECONNABORTED), fail(unix.SYS_ACCEPT4, unix.ENFILE),
-			fail(unix.SYS_ACCEPT4, unix.ENOBUFS), fail(unix.SYS_ACCEPT4, unix.EINTR),
-			fail(unix.SYS_SOCKET, unix.ENFILE), fail(unix.SYS_SOCKET, unix.ENOBUFS),
-			fail(unix.SYS_CONNECT, unix.EADDRNOTAVAIL), fail(unix.SYS_CONNECT, unix.ENETUNREACH),
-			fail(unix.SYS_CONNECT, unix.ETIMEDOUT), fail(unix.SYS_CONNECT, unix.EHOSTUNREACH)}}
+	return &SyscallFaults{Seed: seed, Holds: []SyscallHold{{Call: HeldAttempt, Share: 0.1,
+		Least: 20 * time.Millisecond, Most: 150 * time.Millisecond}}, ShortShare: 0.03, Errors: []SyscallError{
+		fail(unix.SYS_READ, unix.EINTR), fail(unix.SYS_WRITE, unix.EINTR),
+		fail(unix.SYS_ACCEPT4, unix.ECONNABORTED), fail(unix.SYS_ACCEPT4, unix.ENFILE),
+		fail(unix.SYS_ACCEPT4, unix.ENOBUFS), fail(unix.SYS_ACCEPT4, unix.EINTR),
+		fail(unix.SYS_SOCKET, unix.ENFILE), fail(unix.SYS_SOCKET, unix.ENOBUFS),
+		fail(unix.SYS_CONNECT, unix.EADDRNOTAVAIL), fail(unix.SYS_CONNECT, unix.ENETUNREACH),
+		fail(unix.SYS_CONNECT, unix.ETIMEDOUT), fail(unix.SYS_CONNECT, unix.EHOSTUNREACH)}}
 }
 
 // soakRequest is one request and how it ended.
--- a/internal/rig/syscalls.go
+++ b/internal/rig/syscalls.go
@@ -26,15 +26,60 @@
 
 // SyscallFaults says what befalls the system calls of one process.
 type SyscallFaults struct {
-	PID  int    `json:"pid"`
-	Seed uint64 `json:"seed"`
-	// HoldShare is the share of writes of a call to a data node whose thread is held before the write.
-	HoldShare float64       `json:"hold_share"`
-	HoldLeast time.Duration `json:"hold_least"`
-	HoldMost  time.Duration `json:"hold_most"`
+	PID   int           `json:"pid"`
+	Seed  uint64        `json:"seed"`
+	Holds []SyscallHold `json:"holds"`
 	// ShortShare is the share of reads and writes on which only a part of the bytes is moved.
 	ShortShare float64        `json:"short_share"`
 	Errors     []SyscallError `json:"errors"`
+	// Clock befalls the process's looks at its clocks; nil: nothing does.
+	Clock *ClockFaults `json:"clock"`
+	// Load has the faults begin with the program's first instruction, not once its runtime has started a
+	// thread: the dynamic loader takes no call for one that may fail.
+	Load bool `json:"load"`
+}
+
+// ClockFaults says what befalls a process's looks at its clocks.
+type ClockFaults struct {
+	// Share is the share of looks behind which the thread is held, for Least to Most: it goes on with a time that
+	// is over. Where Every is set that is so for the first For of each such span only.
+	Share float64       `json:"share"`
+	Least time.Duration `json:"least"`
+	Most  time.Duration `json:"most"`
+	Every time.Duration `json:"every"`
+	For   time.Duration `json:"for"`
+	// Steps move the wall clock, one after the other.
+	Steps []ClockStep `json:"steps"`
+}
+
+// ClockStep is a step of the wall clock.
+type ClockStep struct {
+	After time.Duration `json:"after"` // since the program began
+	By    time.Duration `json:"by"`    // from where the clock would be without any step
+}
+
+// HeldCall is a kind of system call whose thread may be held before it.
+type HeldCall string
+
+// The kinds of system calls that may be held.
+const (
+	HeldAttempt HeldCall = "attempt" // the write of a call to a data node
+	HeldReply   HeldCall = "reply"   // the write of an HTTP reply to a client
+	HeldQuery   HeldCall = "query"   // the write of an HTTP request, as to discovery
+	HeldLog     HeldCall = "log"     // the write of a line to standard error
+	HeldRead    HeldCall = "read"    // any read
+	HeldAccept  HeldCall = "accept"
+	HeldConnect HeldCall = "connect"
+	HeldEvents  HeldCall = "events" // the wait for network events
+	HeldPeek    HeldCall = "peek"   // the look whether a client has left
+)
+
+// SyscallHold has a share of the calls of one kind begin late: the thread is held before the call.
+type SyscallHold struct {
+	Call  HeldCall      `json:"call"`
+	Share float64       `json:"share"`
+	Least time.Duration `json:"least"`
+	Most  time.Duration `json:"most"`
 }
 
 // SyscallError has a share of the calls of one number fail, without being made.
@@ -48,6 +93,7 @@
 const (
 	tracerEnv  = "LAPISLEVER_RIG_TRACER"
 	programEnv = "LAPISLEVER_RIG_PROGRAM"
+	clockEnv   = "LAPISLEVER_RIG_CLOCK" // set: the tracer sees each look at a clock, too
 )
 
 const (
@@ -61,7 +107,11 @@
 	if err != nil {
 		return nil, err
 	}
-	p, err := Start(self, args, append(env, programEnv+"="+path), log)
+	env = append(env, programEnv+"="+path)
+	if faults.Clock != nil {
+		env = append(env, clockEnv+"=1")
+	}
+	p, err := Start(self, args, env, log)
 	if err != nil {
 		return nil, err
 	}
@@ -120,7 +170,7 @@
 }
 
 func runTracer(plan string) error {
-	t := &tracer{held: map[int]time.Time{}}
+	t := &tracer{held: map[int]time.Time{}, clocks: clockTracer{pending: map[int]clockLook{}}}
 	if err := json.Unmarshal([]byte(plan), &t.plan); err != nil {
 		return err
 	}
@@ -138,8 +188,12 @@
 			return errors.New("no tracer came")
 		}
 	}
-	if err := stopCalls(unix.SYS_READ, unix.SYS_WRITE, unix.SYS_SOCKET, unix.SYS_CONNECT,
-		unix.SYS_ACCEPT4); err != nil {
+	calls := []uint32{unix.SYS_READ, unix.SYS_WRITE, unix.SYS_SOCKET, unix.SYS_CONNECT, unix.SYS_ACCEPT4,
+		unix.SYS_POLL, unix.SYS_EPOLL_PWAIT, unix.SYS_SHUTDOWN}
+	if os.Getenv(clockEnv) != "" {
+		calls = append(calls, unix.SYS_CLOCK_GETTIME)
+	}
+	if err := stopCalls(calls...); err != nil {
 		return err
 	}
 	return syscall.Exec(program, append([]string{program}, os.Args[1:]...), os.Environ())
@@ -175,6 +229,9 @@
 	plan   SyscallFaults
 	random *rand.Rand
 	held   map[int]time.Time // threads, and when they are to go on
+	loaded bool              // the process has become the program
+	begun  time.Time         // the program itself runs since then: faults befall it from now on
+	clocks clockTracer
 }
 
 const (
@@ -184,7 +241,8 @@
 	eventSize            = 8 // bytes that an eventfd moves
 	tracerPause          = 50 * time.Microsecond
 	tracerSpin           = 200 * time.Microsecond // calls come in bursts, and a pause is far longer than one
-	tracerOptions        = unix.PTRACE_O_TRACESECCOMP | unix.PTRACE_O_TRACECLONE | unix.PTRACE_O_EXITKILL
+	tracerOptions        = unix.PTRACE_O_TRACESECCOMP | unix.PTRACE_O_TRACECLONE | unix.PTRACE_O_TRACEEXEC |
+		unix.PTRACE_O_TRACESYSGOOD | unix.PTRACE_O_EXITKILL
 )
 
 // syscallInfo is the kernel's struct ptrace_syscall_info, of a call that a filter stops.
@@ -198,6 +256,13 @@
 	padding [2]uint64
 }
 
+// callInfo is what the kernel tells of the call in which a thread has stopped.
+func callInfo(tid int) (info syscallInfo, ok bool) {
+	_, _, errno := unix.Syscall6(unix.SYS_PTRACE, ptraceGetSyscallInfo, uintptr(tid), unsafe.Sizeof(info),
+		uintptr(unsafe.Pointer(&info)), 0, 0)
+	return info, errno == 0
+}
+
 // seize begins to trace all threads; those that are started later follow by themselves.
 func (t *tracer) seize() error {
 	seen := map[int]bool{}
@@ -268,7 +333,25 @@
 	event := int(uint32(status)>>16) & 0xff
 	signal := 0
 	switch {
-	case event == unix.PTRACE_EVENT_SECCOMP:
+	case event == unix.PTRACE_EVENT_EXEC:
+		t.loaded = true
+		if t.plan.Clock != nil {
+			hideVDSO(t.plan.PID, tid)
+		}
+	case event == unix.PTRACE_EVENT_CLONE:
+		if t.loaded && t.begun.IsZero() {
+			t.begun = time.Now()
+		}
+	case event == 0 && status.StopSignal() == callEnd:
+		if hold := t.clocks.end(t, tid); hold > 0 {
+			t.held[tid] = time.Now().Add(hold)
+			return
+		}
+	case event == unix.PTRACE_EVENT_SECCOMP && (!t.begun.IsZero() || t.plan.Load):
+		if t.plan.Clock != nil && t.clocks.begin(t, tid) {
+			_ = unix.PtraceSyscall(tid, 0) // to the end of the call
+			return
+		}
 		if hold := t.call(tid); hold > 0 {
 			t.held[tid] = time.Now().Add(hold)
 			return
@@ -284,10 +367,8 @@
 
 // call decides on a call that a thread is about to make, and returns how long the thread is to be held.
 func (t *tracer) call(tid int) (hold time.Duration) {
-	var info syscallInfo
-	_, _, errno := unix.Syscall6(unix.SYS_PTRACE, ptraceGetSyscallInfo, uintptr(tid), unsafe.Sizeof(info),
-		uintptr(unsafe.Pointer(&info)), 0, 0)
-	if errno != 0 {
+	info, ok := callInfo(tid)
+	if !ok {
 		return 0
 	}
 	moves := info.number == unix.SYS_WRITE || info.number == unix.SYS_READ
@@ -303,12 +384,61 @@
 	if moves && info.args[2] > 1 && t.random.Float64() < t.plan.ShortShare {
 		t.edit(tid, func(r *unix.PtraceRegs) { r.Rdx = 1 + t.random.Uint64N(r.Rdx-1) })
 	}
-	if info.number != unix.SYS_WRITE || t.plan.HoldShare == 0 || !t.isCall(info) ||
-		t.random.Float64() >= t.plan.HoldShare {
+	return t.holdOf(info)
+}
+
+// holdOf draws how long the thread that makes a call is to be held.
+func (t *tracer) holdOf(info syscallInfo) time.Duration {
+	if len(t.plan.Holds) == 0 {
 		return 0
 	}
-	spread := int64(max(1, t.plan.HoldMost-t.plan.HoldLeast))
-	return t.plan.HoldLeast + time.Duration(t.random.Int64N(spread))
+	kind := t.kindOf(info)
+	for _, h := range t.plan.Holds {
+		if h.Call != kind || t.random.Float64() >= h.Share {
+			continue
+		}
+		return h.Least + time.Duration(t.random.Int64N(int64(max(1, h.Most-h.Least))))
+	}
+	return 0
+}
+
+// kindOf tells what a call is for; empty: nothing that may be held.
+func (t *tracer) kindOf(info syscallInfo) HeldCall {
+	switch info.number {
+	case unix.SYS_READ:
+		return HeldRead
+	case unix.SYS_ACCEPT4:
+		return HeldAccept
+	case unix.SYS_CONNECT:
+		return HeldConnect
+	case unix.SYS_EPOLL_PWAIT:
+		return HeldEvents
+	case unix.SYS_POLL:
+		return HeldPeek
+	case unix.SYS_WRITE:
+		return t.writeKind(info)
+	}
+	return ""
+}
+
+// writeKind tells what is being written by its first bytes.
+func (t *tracer) writeKind(info syscallInfo) HeldCall {
+	var head [5]byte
+	known := readMemory(t.plan.PID, uintptr(info.args[1]), head[:])
+	size := uint64(head[0]) | uint64(head[1])<<8 | uint64(head[2])<<16 | uint64(head[3])<<24
+	switch {
+	case info.args[0] == uint64(syscall.Stderr):
+		return HeldLog
+	case !known:
+		return ""
+	case head[4] == '1' && size+4 == info.args[2]:
+		return HeldAttempt
+	case string(head[:]) == "HTTP/":
+		return HeldReply
+	case string(head[:]) == "GET /":
+		return HeldQuery
+	}
+	return ""
 }
 
 // edit changes a stopped thread's registers.
@@ -319,13 +449,3 @@
 		_ = unix.PtraceSetRegs(tid, &r)
 	}
 }
-
-// isCall tells that a write is one frame with a call for a data node.
-func (t *tracer) isCall(info syscallInfo) bool {
-	var head [5]byte
-	local := []unix.Iovec{{Base: &head[0], Len: uint64(len(head))}}
-	remote := []unix.RemoteIovec{{Base: uintptr(info.args[1]), Len: len(head)}}
-	n, err := unix.ProcessVMReadv(t.plan.PID, local, remote, 0)
-	size := uint64(head[0]) | uint64(head[1])<<8 | uint64(head[2])<<16 | uint64(head[3])<<24
-	return err == nil && n == len(head) && head[4] == '1' && size+4 == info.args[2]
-}
