Let four threads run at a time, however small the part of a core is

Cause: GOMAXPROCS was the limit on cores, rounded down: 1 on the platform. A thread that the system holds up outside a system call keeps the only right to run; every other goroutine, each timer and each look for network events waits for it.

Change: at least four threads may run. The limit on cores bounds processor time, which is the platform's to enforce.

Measured: TestAThreadThatIsHeldHoldsUpNoOther failed before (98 to 112 of 150 answers over 0.75 s late in three plays); now 0 in three plays and one under the race detector.

--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -28,7 +28,9 @@
 	maxDatagram = 256
 	ownSockets  = 40 // descriptors for all but clients, nodes and operators
 	nodeShare   = 4  // one in so many descriptors is kept for nodes
-	ringShare   = 8  // one in so many bytes of the memory is for large requests that are being read
+	// leastThreads is how many threads may run at a time, whatever part of a core there is.
+	leastThreads = 4
+	ringShare    = 8 // one in so many bytes of the memory is for large requests that are being read
 
 	// An ending coordinator goes on serving for as long as new connections may still come, and beyond that for
 	// as long as clients use it and there is time; it answers all that it took well before it may be killed.
@@ -89,9 +91,11 @@
 	watcher *watcher
 }
 
-// ApplyLimits keeps this process within the platform's limits on cores and memory.
+// ApplyLimits keeps this process within the platform's limits on cores and memory. The limit on cores bounds
+// processor time, not how many threads may run at a time: with a single one, a thread that the system holds up
+// would hold up the whole process.
 func (c *Config) ApplyLimits() {
-	runtime.GOMAXPROCS(max(1, int(c.Limits.Cores)))
+	runtime.GOMAXPROCS(max(leastThreads, int(c.Limits.Cores)))
 	debug.SetMemoryLimit(int64(c.Limits.MemoryMB) << 20 * 6 / 10)
 }
 
