Finish a reply whose writer's thread is held up, and look at no clock before it

Cause: a reply is written by one goroutine, and nobody else can tell or help if its thread is held in the system call, or behind one of the looks at a clock that came between the decision and the write (the deadline's two, the Date header's).

Change: internal/watchdog looks at the system calls under way every 25 ms; to begin and end one costs a lock, no clock and no timer. A reply whose call is held for three whole ticks is written by another goroutine, if the system says (TCP_INFO, SIOCOUTQ) that it has taken no byte of it, and the sending side is ended at once, so that the held call ends with EPIPE. A try that is held in turn is followed by another. The write's limit is set only where the system takes nothing, and the Date is that of the decision.

TestAHeldReplyIsFinishedOnce and TestAReplyThatWentOutIsNotWrittenAgain hold the two sides of the race.

--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -66,6 +66,7 @@
 	}
 	_ = c.c.SetDeadline(time.Time{})
 	c.c = secured // nobody else looks at it yet
+	c.replies = newReplyWriter(secured, &c.s.watch)
 	if c.seat.k != nil {
 		if d := c.seat.k.prove(c.seat.id, identity, identity != ""); d.Verdict == admission.Refuse {
 			c.turned, c.after = true, time.Duration(d.After)*time.Microsecond
@@ -96,6 +97,7 @@
 	c       net.Conn   // the same, or TLS over it
 	mu      sync.Mutex // guards in, err, at, state, since, asked, parting, until, overrun
 	in, out *Ring
+	replies *replyWriter
 	more    chan struct{}
 	err     error
 	at      time.Time // of the last byte read
@@ -345,7 +347,8 @@
 		}
 		if lack.word && !continued {
 			continued = true
-			if _, err := c.c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
+			piece := &replyPiece{w: c.replies, limit: replyLimit}
+			if _, err := piece.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 				return nil, err
 			}
 		}
@@ -400,7 +403,12 @@
 			return
 		}
 		end := req.Close || resp.Close || c.s.closing.Load() || !c.held || c.turned
-		if err := c.write(resp, end, req.Method == "HEAD"); err != nil {
+		err = c.write(resp, end, req.Method == "HEAD")
+		if c.replies.wasRescued() {
+			c.s.log.Warn("reply finished for a writer that was held up", "client", c.c.RemoteAddr(), "query", req.ID())
+			end = true
+		}
+		if err != nil {
 			c.s.log.Info("reply not written", "client", c.c.RemoteAddr(), "path", req.Path, "query", req.ID(),
 				"status", resp.Status, "err", err)
 			return
@@ -462,8 +470,7 @@
 
 func (c *serverConn) write(r Response, end, headOnly bool) error {
 	limit := replyLimit + time.Duration(len(r.Body))*time.Microsecond // a megabyte a second
-	_ = c.c.SetWriteDeadline(time.Now().Add(limit))
-	return writeResponse(c.c, c.out, r, end, headOnly)
+	return writeResponse(&replyPiece{w: c.replies, limit: limit}, c.out, r, end, headOnly)
 }
 
 // linger tells the client that nothing more will come, and lets it read the reply before the connection goes:
--- a/internal/net/http.go
+++ b/internal/net/http.go
@@ -315,15 +315,20 @@
 	return len(p), nil
 }
 
-// writeResponse writes a reply with its length.
-func writeResponse(to io.Writer, out *Ring, r Response, end, headOnly bool) error {
+// writeResponse writes a reply with its length. Of one that was decided on a Step its time is taken: a look at a
+// clock would come between the decision and the reply.
+func writeResponse(to *replyPiece, out *Ring, r Response, end, headOnly bool) error {
 	w := &ringWriter{w: to, r: out}
+	date := r.Decided
+	if date.IsZero() {
+		date = time.Now()
+	}
 	kind := r.Type
 	if kind == "" {
 		kind = "text/plain; charset=utf-8"
 	}
 	fmt.Fprintf(w, "HTTP/1.1 %d %s\r\nDate: %s\r\nContent-Type: %s\r\nContent-Length: %d\r\n", r.Status,
-		Reason(r.Status), time.Now().UTC().Format("Mon, 02 Jan 2006 15:04:05 GMT"), kind, len(r.Body))
+		Reason(r.Status), date.UTC().Format("Mon, 02 Jan 2006 15:04:05 GMT"), kind, len(r.Body))
 	for _, h := range r.Header {
 		fmt.Fprintf(w, "%s: %s\r\n", h[0], h[1])
 	}
@@ -336,6 +341,7 @@
 			return err
 		}
 	}
+	to.last = true
 	return w.flush()
 }
 
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -16,6 +16,7 @@
 
 	"lapislever/internal/admission"
 	"lapislever/internal/delay"
+	"lapislever/internal/watchdog"
 )
 
 // Exchange is one request that waits for its one reply.
@@ -67,6 +68,7 @@
 	// before Serve.
 	Keeper *Keeper
 	Secure Secure
+	watch  watchdog.Watchdog
 	begun  time.Time    // when it was made
 	last   atomic.Int64 // when a request last came, in nanoseconds since then
 	spare  atomic.Int64 // connections beyond the budget that are just being refused
@@ -141,6 +143,7 @@
 		}
 		sc := &serverConn{s: s, raw: c, c: c, in: NewRing(aheadMost), out: NewRing(outRing), held: held,
 			more: make(chan struct{}, 1), since: time.Now(), state: waiting, seat: place, after: after}
+		sc.replies = newReplyWriter(c, &s.watch)
 		sc.in.pool, sc.out.pool = &s.budget.rings, &s.budget.rings
 		s.mu.Lock()
 		sc.parting = s.finished
