Carry out what is decided before logging it, and word log lines on one goroutine

A line costs three looks at a clock and a lock that all loggers share, under which the line was worded and a clock read: a thread that was held up there held up whoever logged, the core's goroutine first.

Change: the action comes first in all of these; the core logs behind its Step. The log's handler queues the record; wording it and counting lines a second is the writer's. No lock is held over a look at a clock.

--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -69,7 +69,8 @@
 				c.cfg.Lister.Fetch()
 			}
 		case balance.Note:
-			c.cfg.Log.Info("module", "note", a.Text)
+			text := a.Text
+			c.logLater(func() { c.cfg.Log.Info("module", "note", text) })
 		case balance.Tell:
 			if c.cfg.Peers != nil {
 				c.cfg.Peers.Tell(a.To, a.Text)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -112,6 +112,7 @@
 
 	// What follows belongs to the goroutine of Run alone.
 	now      balance.Micros
+	logs     []func() // lines put off to the end of the Step
 	events   []balance.Event
 	actions  []balance.Action
 	sends    []*Attempt
@@ -507,7 +508,7 @@
 	if due := c.nextTime(); due > 0 && c.now > 0 {
 		late = micros(now - max(due, c.now))
 	}
-	defer func() { c.cfg.Delays.Note(delay.Step, late, "open", len(c.queries)) }()
+	c.logLater(func() { c.cfg.Delays.Note(delay.Step, late, "open", len(c.queries)) })
 	c.now = now
 	for len(c.timers) > 0 && c.timers[0].at <= now {
 		t := heap.Pop(&c.timers).(timer)
@@ -541,7 +542,7 @@
 	for _, q := range overdue {
 		if q.open {
 			c.logEnd(q, Failed.String(), "no decision in time")
-			c.cfg.Log.Error("query ended without a decision", "query", q.Name)
+			c.logLater(func() { c.cfg.Log.Error("query ended without a decision", "query", q.Name) })
 			c.events = append(c.events, balance.Event{Kind: balance.ClientGone, ID: q.id})
 			c.final(q, Final{Ending: Failed, Overdue: true})
 		}
@@ -550,6 +551,7 @@
 		c.idleDone = true
 		close(c.idle)
 	}
+	c.flushLogs()
 }
 
 func (c *Core) guardAt(q *Query) balance.Micros {
--- a/internal/core/requestlog.go
+++ b/internal/core/requestlog.go
@@ -22,18 +22,34 @@
 	return "failed"
 }
 
+// logLater has a line logged behind the Step, when all is carried out: to log takes a look at the clock, and
+// may be held up.
+func (c *Core) logLater(line func()) { c.logs = append(c.logs, line) }
+
+// flushLogs logs what was put off.
+func (c *Core) flushLogs() {
+	for i, line := range c.logs {
+		line()
+		c.logs[i] = nil
+	}
+	c.logs = c.logs[:0]
+}
+
 // logEnd logs how a query that was not answered ended and why, with all its attempts: one line tells each
 // retry and what came before it.
 func (c *Core) logEnd(q *Query, how, why string) {
 	if !c.cfg.Log.Enabled(context.Background(), slog.LevelInfo) {
 		return
 	}
-	age, left := time.Duration(0), time.Duration(0)
-	if now := c.clock(time.Now()); q.open {
-		age, left = micros(now-q.began), micros(q.deadline-now)
-	}
-	c.cfg.Log.Info("request ended", "query", q.Name, "class", q.Class, "how", how, "why", why, "age", age,
-		"left", left, "attempts", c.attemptsText(q))
+	open := q.open
+	c.logLater(func() {
+		age, left := time.Duration(0), time.Duration(0)
+		if open {
+			age, left = micros(c.now-q.began), micros(q.deadline-c.now)
+		}
+		c.cfg.Log.Info("request ended", "query", q.Name, "class", q.Class, "how", how, "why", why, "age", age,
+			"left", left, "attempts", c.attemptsText(q))
+	})
 }
 
 // attemptsText lists a query's attempts as shard, replica, and when each began and ended how, in ms of the
--- a/internal/grpcnode/conn.go
+++ b/internal/grpcnode/conn.go
@@ -420,8 +420,8 @@
 
 // Abort makes it impossible that the writer puts out another byte.
 func (c *conn) Abort() {
-	c.b.log.Warn("write aborted: its request is over and the writer was held", "node", c.n.name)
 	lnet.Abort(c.raw)
+	c.b.log.Warn("write aborted: its request is over and the writer was held", "node", c.n.name)
 }
 
 // abortWrite aborts the connection's write if a call's first byte is still not out after the time given; the
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -386,8 +386,8 @@
 		req, err := c.next()
 		var bad *BadMessage
 		if errors.As(err, &bad) {
-			c.s.log.Warn("bad request", "client", c.c.RemoteAddr(), "why", bad.What)
 			_ = c.write(Response{Status: bad.Status, Body: []byte(bad.What + "\n")}, true, false)
+			c.s.log.Warn("bad request", "client", c.c.RemoteAddr(), "why", bad.What)
 			c.linger()
 			return
 		}
@@ -458,11 +458,11 @@
 			if err == nil {
 				continue
 			}
-			c.s.log.Info("client left with a request out", "client", c.c.RemoteAddr(), "path", req.Path,
-				"query", req.ID(), "after", time.Since(req.At), "err", err)
 			if gone != nil {
 				gone()
 			}
+			c.s.log.Info("client left with a request out", "client", c.c.RemoteAddr(), "path", req.Path,
+				"query", req.ID(), "after", time.Since(req.At), "err", err)
 			return Response{}, false
 		}
 	}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -64,10 +64,10 @@
 	}
 	q, err := f.parse(r)
 	if err != nil {
-		f.log.Warn("bad request", "path", r.Path, "status", err.Status, "why", err.What)
 		f.countUnasked(r, EndingOf(err.Status))
 		// The end of the connection: what else comes on it is worth as little, and must not cost more.
 		x.Reply(lnet.Response{Status: err.Status, Body: []byte(err.What + "\n"), Close: true})
+		f.log.Warn("bad request", "path", r.Path, "status", err.Status, "why", err.What)
 		return nil
 	}
 	q.Client = &client{x: x, log: f.log, count: f.core.Counts().Class(ClassName(r))}
--- a/internal/platform/log.go
+++ b/internal/platform/log.go
@@ -1,10 +1,11 @@
 package platform
 
-// The log's way out. This file owns the queue between whoever logs and the stream that the log goes to; it
-// must never make anybody wait: the core's goroutine logs too, and a stream that nobody reads would hold it
-// up.
+// The log's way out. Whoever logs hands over a record and goes on: a record is worded and written by one
+// goroutine. This file must never make anybody wait: the core's goroutine logs too, and neither a stream that
+// nobody reads nor another thread that is held up while it logs may hold it up.
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -14,72 +15,91 @@
 )
 
 const (
-	logQueue = 1024 // lines that wait; further ones are lost, and counted
+	logQueue = 1024 // records that wait; further ones are lost, and counted
 	logRate  = 200  // lines a second, so that bad input cannot fill what keeps the log
 	logFlush = 2 * time.Second
 )
 
-// lineQueue is a stream that never blocks.
-type lineQueue struct {
-	lines chan []byte
-	done  chan struct{}
-	once  sync.Once
-	lost  atomic.Int64
-	mu    sync.Mutex // guards since, count
-	since time.Time
-	count int
+// logRecord is a record that waits, and what is to word it; without a handler it is the log's end.
+type logRecord struct {
+	handler slog.Handler
+	record  slog.Record
+}
+
+// recordQueue holds what waits to be written.
+type recordQueue struct {
+	records chan logRecord
+	done    chan struct{}
+	once    sync.Once
+	lost    atomic.Int64
+}
+
+// queuedHandler is a slog.Handler that queues records for another handler.
+type queuedHandler struct {
+	queue *recordQueue
+	to    slog.Handler
 }
 
 // NewLog returns a log that never blocks, and what writes the rest of it at the end.
 func NewLog(w io.Writer, level slog.Level) (*slog.Logger, func()) {
-	q := &lineQueue{lines: make(chan []byte, logQueue), done: make(chan struct{})}
+	q := &recordQueue{records: make(chan logRecord, logQueue), done: make(chan struct{})}
 	go q.drain(w)
-	log := slog.New(slog.NewTextHandler(q, &slog.HandlerOptions{Level: level}))
-	return log, q.close
+	return slog.New(queuedHandler{q, slog.NewTextHandler(w, &slog.HandlerOptions{Level: level})}), q.close
 }
 
-// Write queues a line.
-func (q *lineQueue) Write(line []byte) (int, error) {
-	if !q.allowed() {
-		q.lost.Add(1)
-		return len(line), nil
-	}
+// Enabled tells that records of a level are written.
+func (h queuedHandler) Enabled(ctx context.Context, level slog.Level) bool {
+	return h.to.Enabled(ctx, level)
+}
+
+// Handle queues a record.
+func (h queuedHandler) Handle(_ context.Context, r slog.Record) error {
 	select {
-	case q.lines <- append([]byte(nil), line...):
+	case h.queue.records <- logRecord{h.to, r.Clone()}:
 	default:
-		q.lost.Add(1)
+		h.queue.lost.Add(1)
 	}
-	return len(line), nil
+	return nil
 }
 
-func (q *lineQueue) allowed() bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if now := time.Now(); now.Sub(q.since) >= time.Second {
-		q.since, q.count = now, 0
-	}
-	q.count++
-	return q.count <= logRate
+// WithAttrs returns a handler that adds attributes.
+func (h queuedHandler) WithAttrs(attrs []slog.Attr) slog.Handler {
+	return queuedHandler{h.queue, h.to.WithAttrs(attrs)}
+}
+
+// WithGroup returns a handler that names a group.
+func (h queuedHandler) WithGroup(name string) slog.Handler {
+	return queuedHandler{h.queue, h.to.WithGroup(name)}
 }
 
-func (q *lineQueue) drain(w io.Writer) {
+// drain writes what is queued, up to the log's end.
+func (q *recordQueue) drain(w io.Writer) {
 	defer close(q.done)
-	for line := range q.lines {
-		if line == nil {
+	var second time.Time // in which lines are counted
+	count := 0
+	for r := range q.records {
+		if r.handler == nil {
 			return
 		}
+		if at := r.record.Time; second.IsZero() || at.Sub(second) >= time.Second {
+			second, count = at, 0
+		}
+		if count++; count > logRate {
+			q.lost.Add(1)
+			continue
+		}
 		if n := q.lost.Swap(0); n > 0 {
 			fmt.Fprintf(w, "level=WARN msg=\"log lines lost\" lines=%d\n", n)
 		}
-		_, _ = w.Write(line)
+		_ = r.handler.Handle(context.Background(), r.record)
 	}
 }
 
 // close writes what is queued, as far as the stream takes it in a short time.
-func (q *lineQueue) close() {
+func (q *recordQueue) close() {
 	q.once.Do(func() {
 		select {
-		case q.lines <- nil:
+		case q.records <- logRecord{}:
 		default:
 		}
 		select {
--- /dev/null
+++ b/internal/platform/logorder_test.go
@@ -0,0 +1,121 @@
+package platform
+
+// Incident 2157b7: to log takes looks at the clock and locks, and a thread may be held up there. What is decided
+// is carried out first.
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"lapislever/internal/core"
+	lnet "lapislever/internal/net"
+	"lapislever/internal/standin"
+)
+
+const oneSlice = `{"slices":[{"slice":0,"mass":1}],"filter":"c41e77d0"}`
+
+// runWithLog starts a coordinator that logs by l, with one data node.
+func runWithLog(t *testing.T, l *standin.HeldLog, node *standin.Node) (*Coordinator, *discovery) {
+	t.Helper()
+	d := newDiscovery(t, hostAt("a", node.Addr, 0))
+	k, err := Start(config(t, d), l.Logger())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(k.Close)
+	standin.Until(t, "readiness", k.front.ready.Load)
+	return k, d
+}
+
+// awaitHeld waits until a logger is held.
+func awaitHeld(t *testing.T, l *standin.HeldLog) {
+	t.Helper()
+	select {
+	case <-l.Held():
+	case <-time.After(10 * time.Second):
+		t.Fatal("nothing was logged")
+	}
+}
+
+// The answer is with its client while the line about it is still being logged.
+func TestAnAnswerDoesNotWaitForTheLog(t *testing.T) {
+	l := standin.NewHeldLog(t, "request ended")
+	k, _ := runWithLog(t, l, standin.NewNode(t, func(standin.Part) (string, string) { return "B", "" }))
+	r := standin.Call(t, k.Addr(), "POST", "/rate-check", [][2]string{{"X-Call-Id", "q1"}, {"X-Budget", "0.3"}}, oneSlice)
+	if r.Status != 503 {
+		t.Fatalf("%d %s", r.Status, r.Body)
+	}
+	awaitHeld(t, l)
+}
+
+// A client leaves: its request is called off while the line about that is still being logged.
+func TestAClientsEndDoesNotWaitForTheLog(t *testing.T) {
+	l := standin.NewHeldLog(t, "client left with a request out")
+	node := standin.NewNode(t, silent)
+	k, _ := runWithLog(t, l, node)
+	c, err := lnet.Dial(k.Addr(), time.Second, 1<<20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	until := time.Now().Add(3 * time.Second)
+	if err := c.Write("POST", "/rate-check", "a", [][2]string{{"X-Call-Id", "q1"}}, []byte(oneSlice), until); err != nil {
+		t.Fatal(err)
+	}
+	standin.Until(t, "the part", func() bool { return len(node.Parts()) > 0 })
+	left := time.Now()
+	c.Close()
+	awaitHeld(t, l)
+	standin.Until(t, "the request's end", func() bool { return k.core.Counts().Active.Load() == 0 })
+	if took, deadline := time.Since(left), 4*time.Second; took > deadline/2 {
+		t.Errorf("ended after %v: its deadline of %v did that", took, deadline)
+	}
+}
+
+// Discovery tells of a node: the core knows it while the line about it is still being logged.
+func TestAListDoesNotWaitForTheLog(t *testing.T) {
+	for _, message := range []string{"data node", "list taken in"} {
+		l := standin.NewHeldLog(t)
+		node := standin.NewNode(t, ok)
+		k, d := runWithLog(t, l, node)
+		l.Hold(message)
+		d.change(t, hostAt("b", node.Addr, 0))
+		awaitHeld(t, l)
+		if !k.core.Knows(core.ServerID("b"), 10*time.Second) {
+			t.Errorf("%s: the core does not know of the node", message)
+		}
+	}
+}
+
+// A write is aborted before that is logged.
+func TestAnAbortDoesNotWaitForTheLog(t *testing.T) {
+	l := standin.NewHeldLog(t, "write aborted: its request is over and the writer was held")
+	ours, theirs := connPair(t)
+	c := &nodeConn{n: &Nodes{log: l.Logger()}, node: &node{name: "a"}, socket: ours}
+	go c.Abort()
+	awaitHeld(t, l)
+	_ = theirs.SetReadDeadline(time.Now().Add(10 * time.Second))
+	if n, err := theirs.Read(make([]byte, 1)); n != 0 || err == nil {
+		t.Errorf("read %d, %v", n, err)
+	} else if late, ok := err.(net.Error); ok && late.Timeout() {
+		t.Error("the connection is open while the line is being logged")
+	}
+}
+
+// connPair is a connection and its other side.
+func connPair(t *testing.T) (ours, theirs net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	if ours, err = net.Dial("tcp", l.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	if theirs, err = l.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ours.Close(); _ = theirs.Close() })
+	return ours, theirs
+}
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -76,8 +76,8 @@
 
 // Learn takes in where nodes are; of a whole list, that the others are gone. It must come before the core
 // hears of them. What is gone is forgotten once nothing of it is out: ids never come again, and would else
-// pile up.
-func (n *Nodes) Learn(hosts []Host, whole bool) {
+// pile up. What is new is returned, to be logged once the core has heard of it.
+func (n *Nodes) Learn(hosts []Host, whole bool) (news []nodeNews) {
 	n.mu.Lock()
 	var anew, idle []*nodeConn
 	first := len(n.nodes) == 0
@@ -98,8 +98,7 @@
 			x.gone, x.unnamed = false, false
 		}
 		if gone := h.Health == "terminated"; gone != x.gone || h.Health != x.health || h.Born > x.born {
-			n.log.Log(context.Background(), levelOfNews(first), "data node", "node", h.Host,
-				"id", fmt.Sprintf("%x", uint64(id)), "health", h.Health, "born_ms", h.Born)
+			news = append(news, nodeNews{levelOfNews(first), h.Host, id, h.Health, h.Born})
 			x.gone, x.health = gone, h.Health
 		}
 		if h.Born > x.born || h.Dial != x.addr {
@@ -115,7 +114,7 @@
 	for id, x := range n.nodes {
 		if x.unnamed {
 			x.unnamed = false
-			n.log.Info("data node", "node", x.name, "health", "not listed any more")
+			news = append(news, nodeNews{slog.LevelInfo, x.name, id, "not listed any more", x.born})
 		}
 		if x.gone {
 			idle = append(idle, x.conns...)
@@ -131,6 +130,24 @@
 	for _, c := range idle {
 		c.retire()
 	}
+	return news
+}
+
+// nodeNews is a node's new state.
+type nodeNews struct {
+	level  slog.Level
+	name   string
+	id     balance.ReplicaID
+	health string
+	born   float64
+}
+
+// logNews logs nodes' new states.
+func (n *Nodes) logNews(news []nodeNews) {
+	for _, x := range news {
+		n.log.Log(context.Background(), x.level, "data node", "node", x.name, "id", fmt.Sprintf("%x", uint64(x.id)),
+			"health", x.health, "born_ms", x.born)
+	}
 }
 
 // levelOfNews is how much a node's state matters to the log: those of a start's first list matter less.
--- a/internal/platform/nodewrite.go
+++ b/internal/platform/nodewrite.go
@@ -15,10 +15,16 @@
 	lnet "lapislever/internal/net"
 )
 
+// heldAttempt is an attempt that may not begin, and why.
+type heldAttempt struct {
+	attempt *core.Attempt
+	why     core.Hold
+}
+
 // encodeCall encodes a call as it is at this moment, with those of its parts that are still waited for and
 // may begin. For each of these a write has begun (Attempt.BeginWrite). held are those that may not begin.
-func (c *nodeConn) encodeCall(b []byte, call []*core.Attempt, now time.Time) (frame []byte, carried,
-	held []*core.Attempt) {
+func (c *nodeConn) encodeCall(b []byte, call []*core.Attempt, now time.Time) (frame []byte, carried []*core.Attempt,
+	held []heldAttempt) {
 	b = append(b[:0], 0, 0, 0, 0, '1')
 	for _, a := range call {
 		id := wireID(a)
@@ -27,8 +33,7 @@
 		}
 		wait, hold := a.BeginWrite(c, now)
 		if hold != core.MayBegin {
-			c.n.log.Info("attempt not begun", "node", c.node.name, "part", id, "why", string(hold))
-			held = append(held, a)
+			held = append(held, heldAttempt{a, hold})
 			continue
 		}
 		b = fmt.Appendf(b, "%s %d d=%d", id, a.Shard, max(1, wait.Milliseconds()))
@@ -117,7 +122,7 @@
 	buf     []byte
 	carried []*core.Attempt // with a write under way
 	began   time.Time       // when these were last found to be allowed to begin
-	held    []*core.Attempt // that may not begin any more, and of which the core has not heard
+	held    []heldAttempt   // that may not begin any more, and of which the core has not heard
 	written bool            // begin has found something to write
 }
 
@@ -133,11 +138,11 @@
 	}
 	f := &c.frames[0]
 	if f.call != nil {
-		var held []*core.Attempt
+		var held []heldAttempt
 		w.buf, f.call, held = c.encodeCall(w.buf, f.call, now)
 		w.carried = f.call
-		for _, a := range held {
-			delete(c.waiting, wireID(a))
+		for _, h := range held {
+			delete(c.waiting, wireID(h.attempt))
 		}
 		w.held = append(w.held, held...)
 		c.calls = c.count()
@@ -188,8 +193,11 @@
 
 // tellHeld tells the core of parts that never ran.
 func (w *frameWriter) tellHeld() {
-	for _, a := range w.held {
-		w.c.n.post(core.Outcome{Attempt: a, Outcome: balance.NotSent})
+	for _, h := range w.held {
+		w.c.n.post(core.Outcome{Attempt: h.attempt, Outcome: balance.NotSent})
+	}
+	for _, h := range w.held {
+		w.c.n.log.Info("attempt not begun", "node", w.c.node.name, "part", wireID(h.attempt), "why", string(h.why))
 	}
 	w.held = nil
 }
@@ -226,8 +234,8 @@
 
 // Abort makes it impossible that the connection's writer puts out another byte.
 func (c *nodeConn) Abort() {
-	c.n.log.Warn("write aborted: its request is over and the writer was held", "node", c.node.name)
 	lnet.Abort(c.socket)
+	c.n.log.Warn("write aborted: its request is over and the writer was held", "node", c.node.name)
 }
 
 // markWritten books that the frame which the writer has begun is out, or that it never will be, and tells
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -176,9 +176,10 @@
 	}
 	if cfg.Known != nil { // what was known before a restart: enough to begin with
 		w.seq = cfg.Known.Seq
-		k.nodes.Learn(cfg.Known.Hosts, true)
+		news := k.nodes.Learn(cfg.Known.Hosts, true)
 		k.core.Post(core.Listed{Mode: balance.Cached, Replicas: cfg.replicas(cfg.Known.Hosts),
 			Heard: time.Now()})
+		k.nodes.logNews(news)
 	}
 	if k.peers != nil {
 		go k.peers.read()
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -183,13 +183,13 @@
 				out, overdue = nil, nil
 			}
 			if r.err == nil {
+				told := w.take(r.list)
 				abandon()
 				c = r.c
 				if failed > 0 {
 					w.log.Info("discovery answers again", "address", addr, "failed", failed)
 				}
 				failed, whole, renewed, due = 0, false, false, false
-				told := w.take(r.list)
 				if told {
 					w.log.Info("list taken in", "version", r.list.Seq, "whole", r.list.Whole, "entries",
 						len(r.list.Hosts), "asked", time.Since(begun))
@@ -230,8 +230,9 @@
 	if list.Whole {
 		mode = balance.Full
 	}
-	w.nodes.Learn(list.Hosts, list.Whole)
+	news := w.nodes.Learn(list.Hosts, list.Whole)
 	w.post(core.Listed{Mode: mode, Replicas: w.cfg.replicas(list.Hosts), Heard: time.Now()})
+	w.nodes.logNews(news)
 	if list.Whole {
 		select {
 		case <-w.whole:
