--- a/internal/platform/logorder_test.go
+++ b/internal/platform/logorder_test.go
@@ -63,12 +63,11 @@
 		t.Fatal(err)
 	}
 	standin.Until(t, "the part", func() bool { return len(node.Parts()) > 0 })
-	left := time.Now()
 	c.Close()
 	awaitHeld(t, l)
 	standin.Until(t, "the request's end", func() bool { return k.core.Counts().Active.Load() == 0 })
-	if took, deadline := time.Since(left), 4*time.Second; took > deadline/2 {
-		t.Errorf("ended after %v: its deadline of %v did that", took, deadline)
+	if n := k.core.Counts().Class("rate-check"); n.Of(core.Refused)+n.Of(core.Failed) > 0 {
+		t.Error("it was answered, as if its client were there")
 	}
 }
 
