Bound the writes of attempts: look again at those that a held thread does not finish

Cause: what was found to be allowed was carried out by one thread any time later, and aborted only where something told of it. A client's end is told by the goroutine that reads the client, which may be held up itself; a step of time tells nobody, so that the time told to a server was wrong by as much as the thread was held. Between the look and the system call came more looks at clocks (a repeat's timer; three in the writer of gRPC calls), and there outcomes of other calls were posted to the core's queue, which may wait.

Change: each write of an attempt is under the watchdog (core.Attempt.BeginWrite), whatever carries it. One that is held for a tick of 25 ms is looked at again by another goroutine: it is aborted once its client has left (asked of the socket), its time or its key's window is over, or after four whole ticks, as the time that it tells is wrong then. Timers for windows are gone. Limits on writes are set where the system takes nothing, the time is read behind the lock, and the gRPC writer tells of other calls behind its write.

--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -103,7 +103,8 @@
 		return
 	}
 	after := min(max(act.After, 0), math.MaxInt32)
-	a := &Attempt{Query: p.q, Shard: p.spec.Shard, Replica: act.Replica, p: p, number: len(p.tries), sent: c.now}
+	a := &Attempt{Query: p.q, Shard: p.spec.Shard, Replica: act.Replica, p: p, number: len(p.tries), sent: c.now,
+		watch: &c.watch}
 	until := min(c.now+after, p.q.deadline)
 	if after == 0 {
 		until = p.q.deadline
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lapislever/balance"
+	"lapislever/internal/watchdog"
 )
 
 // Attempt is one send of a part. Backends keep the pointer and hand it back with the outcome.
@@ -16,7 +17,9 @@
 	Before  time.Time     // it must not begin later, as its key is forgotten then; zero: it may
 	Ticket  any           // the gate's
 
-	passed bool // by the gate
+	watch  *watchdog.Watchdog // looks at writes that are under way; nil: nobody does
+	write  *watchdog.Call     // the writer's, while one is
+	passed bool               // by the gate
 	p      *part
 	number int
 	sent   balance.Micros
@@ -26,6 +29,9 @@
 	outcome balance.Outcome
 }
 
+// heldTicks is how many whole ticks of the watchdog a write may be held.
+const heldTicks = 4
+
 // Hold is why an attempt may not begin.
 type Hold string
 
@@ -54,11 +60,30 @@
 	case !a.Query.writes.enter(w):
 		return wait, HoldAnswered
 	}
+	if a.watch != nil {
+		a.write = a.watch.Begin(func(ticks int) { a.writeHeld(w, ticks) })
+	}
 	return wait, MayBegin
 }
 
 // EndWrite tells that the write which BeginWrite has allowed has returned.
-func (a *Attempt) EndWrite(w Writer) { a.Query.writes.leave(w) }
+func (a *Attempt) EndWrite(w Writer) {
+	if a.watch != nil {
+		a.watch.End(a.write)
+	}
+	a.Query.writes.leave(w)
+}
+
+// writeHeld aborts a write whose thread is held up, once it may not have begun any more, or has been held for so
+// long that the time it tells its server is wrong.
+func (a *Attempt) writeHeld(w Writer, ticks int) {
+	now := time.Now()
+	left := a.Query.ClientLeft != nil && a.Query.ClientLeft()
+	windowOver := !a.Before.IsZero() && now.After(a.Before)
+	if left || windowOver || now.After(a.Until) || ticks >= heldTicks {
+		a.Query.writes.abortWriter(w)
+	}
+}
 
 // First tells that the attempt is the first of its part.
 func (a *Attempt) First() bool { return a.number == 0 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -16,6 +16,7 @@
 	"lapislever/balance"
 	"lapislever/internal/delay"
 	"lapislever/internal/verdict"
+	"lapislever/internal/watchdog"
 )
 
 // Sizes of the core.
@@ -108,6 +109,7 @@
 	quit   chan struct{}
 	epoch  time.Time
 	base   balance.Micros
+	watch  watchdog.Watchdog
 	advice atomic.Int64 // the longest that clients follow, a time.Duration; 0: they are told nothing
 
 	// What follows belongs to the goroutine of Run alone.
--- a/internal/core/writebarrier.go
+++ b/internal/core/writebarrier.go
@@ -79,6 +79,25 @@
 	}
 }
 
+// abortWriter ends the writes of one writer that are still under way.
+func (b *writeBarrier) abortWriter(w Writer) {
+	b.mu.Lock()
+	inside := slices.DeleteFunc(b.inside, func(x Writer) bool { return x == w })
+	aborted := len(inside) < len(b.inside)
+	b.inside = inside
+	if aborted {
+		w.Abort()
+	}
+	var drained func()
+	if len(b.inside) == 0 {
+		drained, b.drained = b.drained, nil
+	}
+	b.mu.Unlock()
+	if drained != nil {
+		drained()
+	}
+}
+
 // abort ends the writes that are still under way. It holds the lock meanwhile: a writer that has returned is
 // not to lose its connection.
 func (b *writeBarrier) abort() {
--- a/internal/grpcnode/conn.go
+++ b/internal/grpcnode/conn.go
@@ -360,32 +360,15 @@
 		dropped := c.pump(time.Now())
 		part := c.out.First()
 		buf = append(buf[:0], part...)
-		quiet := c.load() == 0 && len(c.pings) == 0
-		leave := quiet && len(buf) == 0 && c.settled && (c.retired || time.Since(c.used) >= limit)
-		wait := limit - time.Since(c.used)
-		if !c.settled {
-			wait = c.b.cfg.DialTimeout - time.Since(born) + time.Millisecond
-		} else if n := len(c.waiting); n > 0 { // it may become too late to begin one
-			wait = min(wait, time.Until(c.waiting[0].until))
-		}
-		for _, s := range c.sending { // or to end one
-			if by := s.a.Before; !by.IsZero() {
-				wait = min(wait, time.Until(by)+time.Millisecond)
-			}
-		}
-		if leave {
-			c.retired = true
-		}
 		c.writing = len(buf) > 0
-		c.mu.Unlock()
-		for _, s := range dropped {
-			c.b.done(c.n, s.a, translate.Result{Outcome: balance.NotSent}, core.Value{}, nil)
-		}
-		if leave {
-			c.end(nil)
-			return
-		}
-		if len(buf) == 0 {
+		if !c.writing {
+			leave, wait := c.rest(time.Since(born))
+			c.mu.Unlock()
+			c.giveBack(dropped)
+			if leave {
+				c.end(nil)
+				return
+			}
 			timer.Reset(max(wait, time.Millisecond))
 			select {
 			case <-c.wake:
@@ -393,12 +376,14 @@
 			}
 			continue
 		}
-		n, err := sock.Write(buf)
+		c.mu.Unlock()
+		n, err := sock.Write(buf) // nothing may come between pump and this
 		c.mu.Lock()
 		c.written += uint64(n)
 		c.endOpening(c.written)
 		if c.dead {
 			c.mu.Unlock()
+			c.giveBack(dropped)
 			return
 		}
 		c.writing = false
@@ -411,6 +396,7 @@
 		}
 		c.used = time.Now()
 		c.mu.Unlock()
+		c.giveBack(dropped)
 		if err != nil {
 			c.end(err)
 			return
@@ -418,6 +404,47 @@
 	}
 }
 
+// rest tells whether a connection on which nothing is to be written is to end, and else how long it may wait; the
+// caller holds mu.
+func (c *conn) rest(age time.Duration) (leave bool, wait time.Duration) {
+	limit := c.b.cfg.Idle
+	unused := time.Since(c.used)
+	wait = limit - unused
+	if !c.settled {
+		wait = c.b.cfg.DialTimeout - age + time.Millisecond
+	} else if len(c.waiting) > 0 { // it may become too late to begin one
+		wait = min(wait, time.Until(c.waiting[0].until))
+	}
+	for _, s := range c.sending { // or to end one
+		if by := s.a.Before; !by.IsZero() {
+			wait = min(wait, time.Until(by)+time.Millisecond)
+		}
+	}
+	quiet := c.load() == 0 && len(c.pings) == 0
+	leave = quiet && c.settled && (c.retired || unused >= limit)
+	c.retired = c.retired || leave
+	return leave, wait
+}
+
+// droppedCall is a call that may not begin, or may not go on, and why.
+type droppedCall struct {
+	s   *stream
+	why core.Hold
+}
+
+// giveBack tells the core of calls that never ran.
+func (c *conn) giveBack(dropped []droppedCall) {
+	for _, d := range dropped {
+		c.b.done(c.n, d.s.a, translate.Result{Outcome: balance.NotSent}, core.Value{}, nil)
+	}
+	for _, d := range dropped {
+		if d.why != core.MayBegin {
+			c.b.log.Info("attempt not begun", "node", c.n.name, "query", d.s.a.Query.Name, "shard", d.s.a.Shard,
+				"why", string(d.why))
+		}
+	}
+}
+
 // Abort makes it impossible that the writer puts out another byte.
 func (c *conn) Abort() {
 	lnet.Abort(c.raw)
@@ -470,31 +497,29 @@
 // pump makes frames of what may be sent now, and returns the calls for which it is too late; the caller holds
 // mu. A call is begun only where nothing else waits to be written, so that its first byte goes out with the
 // next system call: its query's end waits for that.
-func (c *conn) pump(now time.Time) (dropped []*stream) {
+func (c *conn) pump(now time.Time) (dropped []droppedCall) {
 	if !c.settled && !c.retired {
 		return nil
 	}
 	if c.retired { // what is not begun goes back to the module
-		dropped, c.waiting = c.waiting, nil
-		for _, s := range dropped {
+		for _, s := range c.waiting {
 			delete(c.of, s.a)
+			dropped = append(dropped, droppedCall{s: s})
 		}
+		c.waiting = nil
 	}
 	defer c.markOpening()
 	free := c.out.Len() == 0
 	for free && len(c.waiting) > 0 && len(c.streams) < c.most() && c.out.Len() < outHigh && !c.retired {
 		s := c.waiting[0]
 		c.waiting = c.waiting[1:]
-		if !c.mayBegin(s, now) {
+		if why := c.mayBegin(s, now); why != core.MayBegin {
 			delete(c.of, s.a)
-			dropped = append(dropped, s)
+			dropped = append(dropped, droppedCall{s, why})
 			continue
 		}
 		s.entered = true
 		c.opening = append(c.opening, s)
-		if by := s.a.Before; !by.IsZero() {
-			c.abortWrite(s, by.Sub(now)+core.WriteGrace)
-		}
 		s.id, s.window = c.nextID, c.initial
 		c.nextID += 2
 		c.streams[s.id] = s
@@ -508,7 +533,7 @@
 		if s := c.waiting[i]; late(s, now) {
 			c.waiting = append(c.waiting[:i], c.waiting[i+1:]...)
 			delete(c.of, s.a)
-			dropped = append(dropped, s)
+			dropped = append(dropped, droppedCall{s: s})
 			i--
 		}
 	}
@@ -520,7 +545,7 @@
 			if by := s.a.Before; !by.IsZero() && now.After(by) {
 				c.reset(s, http2.ErrCodeCancel)
 				c.forget(s)
-				dropped = append(dropped, s)
+				dropped = append(dropped, droppedCall{s: s})
 				i--
 				continue
 			}
@@ -548,16 +573,12 @@
 }
 
 // mayBegin begins the write of a call's first byte, where it may; the caller holds mu.
-func (c *conn) mayBegin(s *stream, now time.Time) bool {
-	hold := core.HoldOverdue
-	if now.Before(s.until) {
-		_, hold = s.a.BeginWrite(c, now)
-	}
-	if hold != core.MayBegin {
-		c.b.log.Info("attempt not begun", "node", c.n.name, "query", s.a.Query.Name, "shard", s.a.Shard,
-			"why", string(hold))
+func (c *conn) mayBegin(s *stream, now time.Time) core.Hold {
+	if !now.Before(s.until) {
+		return core.HoldOverdue
 	}
-	return hold == core.MayBegin
+	_, hold := s.a.BeginWrite(c, now)
+	return hold
 }
 
 func late(s *stream, now time.Time) bool {
--- a/internal/net/socket.go
+++ b/internal/net/socket.go
@@ -4,18 +4,26 @@
 	"errors"
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
 
 // Socket writes messages to a connection, each put together at the very moment at which the system takes it.
 type Socket struct {
-	c   net.Conn
-	raw syscall.RawConn // nil: the connection is not the system's own
+	c     net.Conn
+	raw   syscall.RawConn // nil: the connection is not the system's own
+	limit time.Duration   // for a message, from when the system first does not take it whole
 }
 
-// NewSocket returns the socket of a connection.
-func NewSocket(c net.Conn) *Socket { return &Socket{c: c, raw: rawConn(c)} }
+// NewSocket returns the socket of a connection on which a message that the system does not take at once may take
+// as long as the limit says.
+func NewSocket(c net.Conn, limit time.Duration) *Socket {
+	return &Socket{c: c, raw: rawConn(c), limit: limit}
+}
+
+// setLimit begins the time of a message. That takes looks at clocks, which must not come before a system call.
+func (s *Socket) setLimit() { _ = s.c.SetWriteDeadline(time.Now().Add(s.limit)) }
 
 func rawConn(c net.Conn) syscall.RawConn {
 	system, ok := c.(syscall.Conn)
@@ -30,11 +38,12 @@
 }
 
 // WriteMessage has a message put together by begin and writes it. Where the system takes no byte it waits,
-// within the connection's write deadline, and has begin called again; an empty message ends the call. Between
+// within the socket's limit, and has begin called again; an empty message ends the call. Between
 // begin and the system call there is nothing that may wait or take time. tried is called when a try is over,
 // with whether bytes have gone out: where some have, once the rest has followed or has failed.
 func (s *Socket) WriteMessage(begin func() []byte, tried func(out bool)) error {
 	if s.raw == nil {
+		s.setLimit()
 		message := begin()
 		if len(message) == 0 {
 			return nil
@@ -46,6 +55,7 @@
 	var message []byte
 	var n int
 	var failure error
+	limited := false
 	err := s.raw.Write(func(fd uintptr) (done bool) {
 		message = begin()
 		if len(message) == 0 {
@@ -57,15 +67,28 @@
 		tried(false)
 		if errors.Is(failure, unix.EAGAIN) {
 			failure = nil
+			if !limited {
+				limited = true
+				s.setLimit()
+			}
 			return false
 		}
 		return true
 	})
 	if n > 0 {
 		if err == nil && n < len(message) {
+			if !limited {
+				limited = true
+				s.setLimit()
+			}
 			_, err = s.c.Write(message[n:])
 		}
 		tried(true)
+	}
+	if limited {
+		_ = s.c.SetWriteDeadline(time.Time{})
+	}
+	if n > 0 {
 		return err
 	}
 	if err == nil {
--- a/internal/net/socket_test.go
+++ b/internal/net/socket_test.go
@@ -44,7 +44,7 @@
 	waits := make(chan struct{})
 	done := make(chan error, 1)
 	go func() {
-		done <- NewSocket(full).WriteMessage(
+		done <- NewSocket(full, 10*time.Second).WriteMessage(
 			func() []byte { return forms[min(len(tries), 1)] },
 			func(out bool) {
 				if tries = append(tries, out); len(tries) == 1 {
@@ -71,7 +71,7 @@
 	full, other, _ := fullSocket(t)
 	waits, done := make(chan struct{}, 16), make(chan error, 1)
 	go func() {
-		done <- NewSocket(full).WriteMessage(func() []byte { return []byte("late") },
+		done <- NewSocket(full, 10*time.Second).WriteMessage(func() []byte { return []byte("late") },
 			func(bool) { waits <- struct{}{} })
 	}()
 	<-waits
--- a/internal/platform/nodewrite.go
+++ b/internal/platform/nodewrite.go
@@ -83,7 +83,7 @@
 	idle := time.NewTimer(limit)
 	defer idle.Stop()
 	w := &frameWriter{c: c}
-	socket := lnet.NewSocket(conn)
+	socket := lnet.NewSocket(conn, writeLimit)
 	for {
 		c.mu.Lock()
 		if c.dead {
@@ -108,7 +108,6 @@
 			continue
 		}
 		c.mu.Unlock()
-		_ = conn.SetWriteDeadline(time.Now().Add(writeLimit))
 		err := socket.WriteMessage(w.begin, w.tried)
 		if w.finish(err) {
 			return
@@ -129,9 +128,10 @@
 // begin encodes the frame as it is to be at this moment, just before the system call, and begins the writes
 // of its parts. It returns nil where there is nothing to write.
 func (w *frameWriter) begin() []byte {
-	c, now := w.c, time.Now()
+	c := w.c
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := time.Now() // behind the lock, which may have to be waited for
 	w.carried, w.written, w.began = nil, false, now
 	if c.dead || len(c.frames) == 0 {
 		return nil
@@ -156,11 +156,6 @@
 	}
 	w.written, c.trying = true, true
 	c.tries++
-	for _, a := range w.carried {
-		if !a.Before.IsZero() { // a repeat: it must not come behind the window of its key either
-			c.abortWrite(a.Before.Sub(now) + core.WriteGrace)
-		}
-	}
 	return w.buf
 }
 
--- a/internal/platform/ordering_test.go
+++ b/internal/platform/ordering_test.go
@@ -11,6 +11,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -130,6 +131,42 @@
 	}
 }
 
+// A client leaves while the writer is held, and nobody has read its end yet: the write is made impossible all
+// the same.
+func TestAHeldWriteIsAbortedOnceItsClientHasLeft(t *testing.T) {
+	k, n, held := coreWithNode(t)
+	var left atomic.Bool
+	q := heldQuery(n, "q1", 3*time.Second, finalFunc(func(core.Final) {}))
+	q.ClientLeft = left.Load
+	k.Submit(q)
+	awaitWrite(t, held)
+	left.Store(true)
+	awaitAbort(t, held, q)
+}
+
+// A write is held for so long that the time it tells its node is far more than is left: it is made impossible
+// although its request is still open.
+func TestAHeldWriteDoesNotTellATimeThatIsOver(t *testing.T) {
+	k, n, held := coreWithNode(t)
+	q := heldQuery(n, "q1", 3*time.Second, finalFunc(func(core.Final) {}))
+	k.Submit(q)
+	awaitWrite(t, held)
+	awaitAbort(t, held, q)
+}
+
+// awaitAbort waits until a held write can put nothing out, which has to be so before its request's end.
+func awaitAbort(t *testing.T, held *pausedConn, q *core.Query) {
+	t.Helper()
+	select {
+	case <-held.closed:
+	case <-time.After(10 * time.Second):
+		t.Fatal("a held write can still go out")
+	}
+	if q.Over() {
+		t.Error("the held write was aborted by its request's end only")
+	}
+}
+
 func awaitWrite(t *testing.T, held *pausedConn) {
 	t.Helper()
 	select {
