Look again whether a client has left where a signal breaks the look off

Cause: the writer of an attempt asks the client's socket by poll(2). EINTR, which Linux documents for it, and EAGAIN passed for 'still there'.

Change: the look is made again.

Measured: TestABrokenLookAtAClientIsMadeAgain, with a poll of its own that fails twice; the code before had no place for one and fails by reading.

--- a/internal/net/socket.go
+++ b/internal/net/socket.go
@@ -126,14 +126,21 @@
 		return false
 	}
 	left := false
-	_ = raw.Control(func(fd uintptr) {
-		look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(look, 0)
-		left = err == nil && n == 1 && look[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
-	})
+	_ = raw.Control(func(fd uintptr) { left = hasEnded(int32(fd), unix.Poll) })
 	return left
 }
 
+// hasEnded looks by poll(2) whether the other side of a connection has ended, again where a signal has broken in:
+// a look that failed says nothing.
+func hasEnded(fd int32, poll func(fds []unix.PollFd, timeout int) (int, error)) bool {
+	look := []unix.PollFd{{Fd: fd, Events: unix.POLLRDHUP}}
+	n, err := poll(look, 0)
+	for errors.Is(err, unix.EINTR) || errors.Is(err, unix.EAGAIN) {
+		n, err = poll(look, 0)
+	}
+	return err == nil && n == 1 && look[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
 // Cut closes a connection whose writer may be in a system call: closing alone would let that call put out its
 // bytes first, whenever its thread goes on, as the descriptor is kept until the call returns.
 func Cut(c net.Conn) {
--- a/internal/net/socket_test.go
+++ b/internal/net/socket_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // fullSocket is one end of a connection of which the system takes no byte more, and the other end.
@@ -90,3 +92,21 @@
 		t.Fatal("the end is not seen")
 	}
 }
+
+// A signal, or memory that is short for a moment, breaks a look at a client's connection off: that does not pass
+// for 'still there'.
+func TestABrokenLookAtAClientIsMadeAgain(t *testing.T) {
+	for _, failure := range []error{unix.EINTR, unix.EAGAIN} {
+		looks := 0
+		poll := func(fds []unix.PollFd, _ int) (int, error) {
+			if looks++; looks < 3 {
+				return -1, failure
+			}
+			fds[0].Revents = unix.POLLRDHUP
+			return 1, nil
+		}
+		if !hasEnded(0, poll) {
+			t.Errorf("%v: a client that has left passes for one that is there", failure)
+		}
+	}
+}
