--- a/internal/grpcnode/conn.go
+++ b/internal/grpcnode/conn.go
@@ -302,30 +302,30 @@
 	return c.settled && c.load() == 0 && len(c.pings) == 0
 }
 
-// dial opens the socket.
-func (c *conn) dial() (net.Conn, error) {
+// dial opens the socket: the connection as it is written to, and the system's own below it.
+func (c *conn) dial() (sock, raw net.Conn, err error) {
 	to := c.to
-	raw, err := net.DialTimeout("tcp", to.Address, c.b.cfg.DialTimeout)
-	if c.raw = raw; err != nil || !to.TLS {
-		return raw, err
+	raw, err = net.DialTimeout("tcp", to.Address, c.b.cfg.DialTimeout)
+	if err != nil || !to.TLS {
+		return raw, raw, err
 	}
 	t := tls.Client(raw, c.b.keys.Config(to.ServerName))
 	_ = raw.SetDeadline(time.Now().Add(c.b.cfg.DialTimeout))
 	if err := t.Handshake(); err != nil {
 		_ = raw.Close()
-		return nil, err
+		return nil, nil, err
 	}
 	_ = raw.SetDeadline(time.Time{})
 	if p := t.ConnectionState().NegotiatedProtocol; p != "h2" {
 		_ = raw.Close()
-		return nil, fmt.Errorf("the node speaks %q, not h2", p)
+		return nil, nil, fmt.Errorf("the node speaks %q, not h2", p)
 	}
-	return t, nil
+	return t, raw, nil
 }
 
 // run is the writer.
 func (c *conn) run() {
-	sock, err := c.dial()
+	sock, raw, err := c.dial()
 	if err != nil {
 		c.end(err)
 		return
@@ -336,7 +336,7 @@
 		_ = sock.Close()
 		return
 	}
-	c.c = sock
+	c.c, c.raw = sock, raw
 	c.mu.Unlock()
 	defer c.closeOpening()
 	go c.read(sock)
--- a/internal/grpcnode/grpcnode_test.go
+++ b/internal/grpcnode/grpcnode_test.go
@@ -595,3 +595,28 @@
 	r.b.Learn([]Target{wrong})
 	r.want("a node of another name", r.send(10, time.Minute), balance.NoConnection)
 }
+
+// A connection is ended while it is dialled: what the dialler sets, the end does not read beside it (the race
+// detector looks).
+func TestAConnectionIsEndedWhileItIsDialled(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	r := newRig(t, bounds, nil, Target{Name: "a", Address: l.Addr().String()})
+	node := r.b.nodes[core.ServerID("a")]
+	for range 50 {
+		if !r.b.budget.TakeServer() {
+			t.Fatal("no descriptor")
+		}
+		c := newConn(r.b, node)
+		over := make(chan struct{})
+		go func() {
+			defer close(over)
+			c.run()
+		}()
+		c.end(nil)
+		<-over
+	}
+}
