--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -224,6 +224,7 @@
 func (c *serverConn) fill() {
 	var full time.Duration // the ring has been, while one request is out
 	var out time.Time      // since when that is
+	var failures passingFailures
 	for ended := false; !ended; {
 		c.mu.Lock()
 		free := c.in.Free()
@@ -254,9 +255,14 @@
 			}
 			c.mu.Unlock()
 		}
-		if errors.Is(err, os.ErrDeadlineExceeded) { // serve wants the ring's memory back, or all thrown away
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded): // serve wants the ring's memory back, or all thrown away
 			err = nil
 			_ = c.c.SetReadDeadline(time.Time{})
+		case err == nil:
+			failures.over()
+		case c.c == c.raw && failures.again(c.raw, err):
+			err = nil
 		}
 		c.mu.Lock()
 		if err != nil && c.err == nil {
--- a/internal/net/replywriter.go
+++ b/internal/net/replywriter.go
@@ -60,6 +60,7 @@
 	}
 	written, limited := 0, false
 	var failure error
+	var failures passingFailures
 	err := w.raw.Write(func(fd uintptr) (done bool) {
 		for written < len(b) {
 			n, callErr := w.call(int(fd), b[written:], p.last)
@@ -71,9 +72,13 @@
 				}
 				return false
 			}
+			if callErr != nil && failures.again(w.conn, callErr) {
+				continue
+			}
 			if failure = callErr; failure != nil {
 				return true
 			}
+			failures.over()
 		}
 		return true
 	})
--- a/internal/net/socket.go
+++ b/internal/net/socket.go
@@ -56,24 +56,30 @@
 	var n int
 	var failure error
 	limited := false
+	var failures passingFailures
 	err := s.raw.Write(func(fd uintptr) (done bool) {
-		message = begin()
-		if len(message) == 0 {
-			return true
-		}
-		if n, failure = write(int(fd), message); n > 0 {
-			return true
-		}
-		tried(false)
-		if errors.Is(failure, unix.EAGAIN) {
-			failure = nil
-			if !limited {
-				limited = true
-				s.setLimit()
+		for {
+			message = begin()
+			if len(message) == 0 {
+				failure = nil
+				return true
+			}
+			if n, failure = write(int(fd), message); n > 0 {
+				return true
+			}
+			tried(false)
+			if errors.Is(failure, unix.EAGAIN) {
+				failure = nil
+				if !limited {
+					limited = true
+					s.setLimit()
+				}
+				return false
+			}
+			if !failures.again(s.c, failure) {
+				return true
 			}
-			return false
 		}
-		return true
 	})
 	if n > 0 {
 		if err == nil && n < len(message) {
--- a/internal/rig/smoke_test.go
+++ b/internal/rig/smoke_test.go
@@ -37,7 +37,20 @@
 	})
 }
 
+// open puts up a rig and starts its members.
 func open(t *testing.T, cfg Config) *Rig {
+	t.Helper()
+	r := openIdle(t, cfg)
+	for _, m := range r.Members() {
+		if err := m.Start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return r
+}
+
+// openIdle puts up a rig whose members are not started.
+func openIdle(t *testing.T, cfg Config) *Rig {
 	t.Helper()
 	cfg.Dir, cfg.Period = t.TempDir(), period
 	if cfg.Nodes == 0 {
@@ -48,11 +61,6 @@
 		t.Fatal(err)
 	}
 	closeAfter(t, r)
-	for _, m := range r.Members() {
-		if err := m.Start(); err != nil {
-			t.Fatal(err)
-		}
-	}
 	return r
 }
 
