Read the clock once when choosing whom to close, not once a connection

Cause: for each connection accepted while the descriptors are full, all clients' connections are looked through for one that makes way, under the server's lock, and each look read the clock: 300 times for each of 300 connections, on the goroutine that accepts.

Change: one time for all.

Tests of net pass.

--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -135,11 +135,11 @@
 	kept                   // has a request that is not answered
 )
 
-// use tells what a connection is good for, and since when.
-func (c *serverConn) use() (connUse, time.Time) {
+// use tells what a connection is good for at a time, and since when.
+func (c *serverConn) use(now time.Time) (connUse, time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	switch late := time.Since(c.since) > graceLimit; {
+	switch late := now.Sub(c.since) > graceLimit; {
 	case c.state == lingering && late:
 		return ending, c.since
 	case c.state != waiting: // or its last word may be on its way, which a close could overtake
--- a/internal/net/narrow_test.go
+++ b/internal/net/narrow_test.go
@@ -364,7 +364,7 @@
 		{waiting, true, 0, fresh}, {waiting, true, 2 * graceLimit, idle},
 	} {
 		c := &serverConn{state: x.state, asked: x.asked, since: time.Now().Add(-x.age), in: NewRing(1)}
-		if use, _ := c.use(); use != x.want {
+		if use, _ := c.use(time.Now()); use != x.want {
 			t.Errorf("%+v: %v", x, use)
 		}
 	}
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -191,7 +191,7 @@
 	e.Server.mu.Lock()
 	defer e.Server.mu.Unlock()
 	for c := range e.Server.conns {
-		if use, _ := c.use(); use == idle {
+		if use, _ := c.use(time.Now()); use == idle {
 			n++
 		}
 	}
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -199,11 +199,12 @@
 	var spared *serverConn
 	var since time.Time
 	worst := bound
+	now := time.Now() // once: a crowd has hundreds of connections
 	for c := range s.conns {
 		if !c.held {
 			continue
 		}
-		if use, at := c.use(); use < worst || use == worst && use != bound && at.Before(since) {
+		if use, at := c.use(now); use < worst || use == worst && use != bound && at.Before(since) {
 			spared, worst, since = c, use, at
 		}
 	}
