Count a request's time from when its last byte came, not from when it was read

A process, or the goroutine that accepts, that is held up in between adds that to all that is told to servers, and to when the answer is due.

Change: the age of what was just read is asked of the system (TCP_INFO, tcpi_last_data_recv). Where it does not say, all is as before.

--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -100,7 +100,7 @@
 	replies *replyWriter
 	more    chan struct{}
 	err     error
-	at      time.Time // of the last byte read
+	at      time.Time // when the last byte came
 	state   connState
 	since   time.Time // when this state began
 	asked   bool      // has had a request answered
@@ -225,6 +225,7 @@
 	var full time.Duration // the ring has been, while one request is out
 	var out time.Time      // since when that is
 	var failures passingFailures
+	came := arrivals{raw: rawConn(c.raw)}
 	for ended := false; !ended; {
 		c.mu.Lock()
 		free := c.in.Free()
@@ -248,10 +249,14 @@
 		default:
 			var n int
 			n, err = c.c.Read(free)
+			var at time.Time
+			if n > 0 {
+				at = came.at(time.Now())
+			}
 			c.mu.Lock()
 			c.in.Grew(n)
 			if n > 0 {
-				c.at = time.Now()
+				c.at = at
 			}
 			c.mu.Unlock()
 		}
@@ -450,7 +455,7 @@
 		}
 		return r, true
 	}
-	c.s.last.Store(int64(req.At.Sub(c.s.begun)))
+	c.s.last.Store(int64(c.since.Sub(c.s.begun))) // when it was taken: it may have waited before
 	gone := c.s.handle(req, x)
 	c.signal() // the word of an end that came along with the request may have been taken with it
 	for {
--- a/internal/net/socket.go
+++ b/internal/net/socket.go
@@ -124,6 +124,28 @@
 	_ = raw.Control(func(fd uintptr) { _ = unix.Shutdown(int(fd), unix.SHUT_RDWR) })
 }
 
+// arrivals tells when bytes that were just read had come. The process may have been held up before it read them,
+// and what a client waits for counts from when it sent them.
+type arrivals struct {
+	raw  syscall.RawConn
+	mute bool // the system does not say
+}
+
+// at is when the last bytes came that were read by now.
+func (a *arrivals) at(now time.Time) time.Time {
+	if a.raw == nil || a.mute {
+		return now
+	}
+	age := time.Duration(0)
+	_ = a.raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if a.mute = err != nil || info.State != tcpEstablished; !a.mute {
+			age = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+	})
+	return now.Add(-age)
+}
+
 // PeerLeft looks whether the other side of a connection has closed it or its sending side, without waiting
 // and whatever lies unread before the end. Where the system can't tell it is false.
 func PeerLeft(c net.Conn) bool {
--- a/internal/net/socket_test.go
+++ b/internal/net/socket_test.go
@@ -110,3 +110,28 @@
 		}
 	}
 }
+
+// Bytes wait unread: when they are read at last, it is known since when they have been there.
+func TestBytesThatWaitedCountFromTheirArrival(t *testing.T) {
+	w, client := replyPair(t)
+	const waited = 300 * time.Millisecond
+	if _, err := client.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(waited)
+	if _, err := w.conn.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	a := arrivals{raw: w.raw}
+	now := time.Now()
+	if age := now.Sub(a.at(now)); age < waited/2 {
+		t.Errorf("they count as %v old, and have waited for %v", age, waited)
+	}
+	_ = client.Close()
+	if _, err := w.conn.Read(make([]byte, 1)); err == nil {
+		t.Fatal("no end")
+	}
+	if now = time.Now(); !a.at(now).Equal(now) {
+		t.Error("a time is told of a connection that has ended")
+	}
+}
