Begin no call at a server that the list says drains, before the core has heard it

Cause: the list reached the writers of calls by way of the core's queue only; between the goroutine that reads discovery and the core's, and while that one is held up, calls that were queued or decided on went out.

Change: a node's connections look at what the list last said, as they begin a call. One that may not begin ends as never sent.

Measured: TestNoCallBeginsOnceTheListSaysThatItsNodeDrains, with a list that the core does not take, failed without the look (no outcome in 10 s).

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -42,6 +42,7 @@
 	HoldWindow   Hold = "the window for repeats of its key is over"
 	HoldLeft     Hold = "its client has left"
 	HoldAnswered Hold = "its request is over"
+	HoldDraining Hold = "its server drains"
 )
 
 // BeginWrite asks whether the attempt's first byte may be written now, and how long the core will wait for
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -519,9 +519,9 @@
 		}
 		state := balance.Gone
 		switch h.Health {
-		case "in_service":
+		case inService:
 			state = balance.Ready
-		case "terminating":
+		case terminating:
 			state = balance.Draining
 		}
 		out = append(out, balance.Replica{ID: core.ServerID(h.Host), Zone: zone, Cell: h.Block, State: state,
--- a/internal/platform/narrow_test.go
+++ b/internal/platform/narrow_test.go
@@ -71,6 +71,42 @@
 	return c
 }
 
+// Discovery tells that a node drains while a call for it is queued, and the core has not come to take the list in:
+// the call is not begun. One that the node may have is.
+func TestNoCallBeginsOnceTheListSaysThatItsNodeDrains(t *testing.T) {
+	n, id, told := wired(t)
+	c := n.attach(id)
+	late := soon("late", id)
+	if !n.Send(id, []*core.Attempt{late}) {
+		t.Fatal("not queued")
+	}
+	hosts := []Host{{Host: "a", Dial: c.node.addr, Health: terminating, Share: 1}}
+	n.Learn(hosts, true)
+	held := newHeldConn()
+	c.c, c.socket, c.up = held, held, true
+	go c.writeLoop(held)
+	if o := outcome(t, told); o.Attempt != late || o.Outcome != balance.NotSent {
+		t.Fatalf("%+v", o)
+	}
+	hosts[0].Health = inService
+	n.Learn(hosts, true)
+	if !n.Send(id, []*core.Attempt{soon("again", id)}) {
+		t.Fatal("not queued")
+	}
+	select {
+	case b := <-held.writing:
+		if !strings.Contains(string(b), "again.0") {
+			t.Errorf("%q is written", b)
+		}
+	case o := <-told:
+		t.Errorf("%+v", o)
+	case <-time.After(10 * time.Second):
+		t.Error("nothing is written")
+	}
+	held.goOn <- nil
+	c.end(nil)
+}
+
 func outcome(t *testing.T, told chan core.Outcome) core.Outcome {
 	t.Helper()
 	select {
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -41,6 +41,13 @@
 	idleShare = 0.7
 )
 
+// The states of a data node in discovery's list.
+const (
+	inService   = "in_service"
+	terminating = "terminating"
+	terminated  = "terminated"
+)
+
 // Nodes is the backend of the platform's queries.
 type Nodes struct {
 	conf   atomic.Pointer[Config]
@@ -62,8 +69,10 @@
 	// unnamed is set while a whole list is read that has not named it so far.
 	unnamed bool
 	health  string // as the list last told
-	conns   []*nodeConn
-	took    latency
+	// draining tells that the list says the node is to get nothing new, also before the core has heard of it.
+	draining atomic.Bool
+	conns    []*nodeConn
+	took     latency
 }
 
 // NewNodes returns the way to the nodes; post is the core's queue.
@@ -97,10 +106,11 @@
 		if x.unnamed {
 			x.gone, x.unnamed = false, false
 		}
-		if gone := h.Health == "terminated"; gone != x.gone || h.Health != x.health || h.Born > x.born {
+		if gone := h.Health == terminated; gone != x.gone || h.Health != x.health || h.Born > x.born {
 			news = append(news, nodeNews{levelOfNews(first), h.Host, id, h.Health, h.Born})
 			x.gone, x.health = gone, h.Health
 		}
+		x.draining.Store(h.Health != inService)
 		if h.Born > x.born || h.Dial != x.addr {
 			// Another process is there now: what the old one had will not be answered.
 			for _, c := range x.conns {
@@ -114,6 +124,7 @@
 	for id, x := range n.nodes {
 		if x.unnamed {
 			x.unnamed = false
+			x.draining.Store(true)
 			news = append(news, nodeNews{slog.LevelInfo, x.name, id, "not listed any more", x.born})
 		}
 		if x.gone {
--- a/internal/platform/nodewrite.go
+++ b/internal/platform/nodewrite.go
@@ -31,7 +31,10 @@
 		if c.waiting[id] != a {
 			continue
 		}
-		wait, hold := a.BeginWrite(c, now)
+		wait, hold := time.Duration(0), core.HoldDraining
+		if !c.node.draining.Load() {
+			wait, hold = a.BeginWrite(c, now)
+		}
 		if hold != core.MayBegin {
 			held = append(held, heldAttempt{a, hold})
 			continue
