--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -75,8 +75,8 @@
 	a.Query.writes.leave(w)
 }
 
-// writeHeld aborts a write whose thread is held up, once it may not have begun any more, or has been held for so
-// long that the time it tells its server is wrong.
+// writeHeld aborts a write whose thread is held up, once it may not have begun any more, or has been held
+// for so long that the time it tells its server is wrong.
 func (a *Attempt) writeHeld(w Writer, ticks int) {
 	now := time.Now()
 	left := a.Query.ClientLeft != nil && a.Query.ClientLeft()
--- a/internal/delay/delay_test.go
+++ b/internal/delay/delay_test.go
@@ -17,7 +17,8 @@
 	if got, want := r.Figures()[Reply], (Figures{Late: 2, LongestMS: 70}); got != want {
 		t.Errorf("%+v, want %+v", got, want)
 	}
-	if text := log.String(); strings.Contains(text, "q1") || !strings.Contains(text, "action=reply took=70ms query=q2") {
+	want := "action=reply took=70ms query=q2"
+	if text := log.String(); strings.Contains(text, "q1") || !strings.Contains(text, want) {
 		t.Errorf("log: %s", text)
 	}
 	if (*Recorder)(nil).Figures() != nil {
--- a/internal/grpcnode/conn.go
+++ b/internal/grpcnode/conn.go
@@ -404,8 +404,8 @@
 	}
 }
 
-// rest tells whether a connection on which nothing is to be written is to end, and else how long it may wait; the
-// caller holds mu.
+// rest tells whether a connection on which nothing is to be written is to end, and else how long it may
+// wait; the caller holds mu.
 func (c *conn) rest(age time.Duration) (leave bool, wait time.Duration) {
 	limit := c.b.cfg.Idle
 	unused := time.Since(c.used)
--- a/internal/net/http.go
+++ b/internal/net/http.go
@@ -315,8 +315,8 @@
 	return len(p), nil
 }
 
-// writeResponse writes a reply with its length. Of one that was decided on a Step its time is taken: a look at a
-// clock would come between the decision and the reply.
+// writeResponse writes a reply with its length. Of one that was decided on a Step its time is taken: a look
+// at a clock would come between the decision and the reply.
 func writeResponse(to *replyPiece, out *Ring, r Response, end, headOnly bool) error {
 	w := &ringWriter{w: to, r: out}
 	date := r.Decided
--- a/internal/net/passing.go
+++ b/internal/net/passing.go
@@ -17,8 +17,8 @@
 // passingFailures counts the failures in a row of one side of a connection.
 type passingFailures int
 
-// again tells whether a call that failed is to be made again, and waits for a moment before it is: the system had no
-// memory, say, and the connection stands. Of one that has ended, the system says so.
+// again tells whether a call that failed is to be made again, and waits for a moment before it is: the
+// system had no memory, say, and the connection stands. Of one that has ended, the system says so.
 func (f *passingFailures) again(c net.Conn, err error) bool {
 	if *f++; *f > passingMost || !isPassing(err) || rawConn(c) == nil || PeerLeft(c) {
 		return false
@@ -37,15 +37,15 @@
 		return false
 	}
 	switch errno {
-	case syscall.ECONNRESET, syscall.ECONNABORTED, syscall.EPIPE, syscall.ENOTCONN, syscall.EBADF, syscall.EFAULT,
-		syscall.EINVAL:
+	case syscall.ECONNRESET, syscall.ECONNABORTED, syscall.EPIPE, syscall.ENOTCONN, syscall.EBADF,
+		syscall.EFAULT, syscall.EINVAL:
 		return false
 	}
 	return true
 }
 
-// PassingReader reads from a connection, again where a read fails and the connection goes on. Only one goroutine may
-// use it.
+// PassingReader reads from a connection, again where a read fails and the connection goes on. Only one
+// goroutine may use it.
 type PassingReader struct {
 	Conn     net.Conn
 	failures passingFailures
--- a/internal/net/replywriter.go
+++ b/internal/net/replywriter.go
@@ -1,8 +1,8 @@
 package net
 
-// Writing replies to a client. The goroutine that takes the client's requests writes them. Where its thread is
-// held up in the system call, the reply is finished by the watchdog: it puts the bytes out itself and ends the
-// sending side, so that the held call can put out nothing behind them.
+// Writing replies to a client. The goroutine that takes the client's requests writes them. Where its thread
+// is held up in the system call, the reply is finished by the watchdog: it puts the bytes out itself and
+// ends the sending side, so that the held call can put out nothing behind them.
 
 import (
 	"bytes"
@@ -17,7 +17,8 @@
 	"lapislever/internal/watchdog"
 )
 
-// rescueTicks is how many whole ticks the write of a reply has to be held before another goroutine finishes it.
+// rescueTicks is how many whole ticks the write of a reply has to be held before another goroutine finishes
+// it.
 const rescueTicks = 3
 
 // tcpEstablished is the state of a connection of which neither side has ended (TCP_ESTABLISHED).
@@ -91,8 +92,8 @@
 	return written, err
 }
 
-// call makes one system call. While somebody else may be about to write it is not left: either the sending side
-// has ended then, or nobody writes any more.
+// call makes one system call. While somebody else may be about to write it is not left: either the sending
+// side has ended then, or nobody writes any more.
 func (w *replyWriter) call(fd int, b []byte, last bool) (int, error) {
 	w.mu.Lock()
 	w.rest, w.last = b, last
@@ -117,9 +118,9 @@
 	return n, err
 }
 
-// held finishes the reply in place of a call that is held up before it has put out a byte. Each such try may be
-// held up in turn, and is followed by another one; the first to write ends the sending side, so that the others
-// write nothing.
+// held finishes the reply in place of a call that is held up before it has put out a byte. Each such try
+// may be held up in turn, and is followed by another one; the first to write ends the sending side, so that
+// the others write nothing.
 func (w *replyWriter) held(ticks int) {
 	if ticks%rescueTicks != 0 {
 		return
@@ -141,8 +142,8 @@
 	w.quiet.Broadcast()
 }
 
-// finishReply writes the rest of a reply and ends the sending side, if the system has taken nothing since so many
-// bytes.
+// finishReply writes the rest of a reply and ends the sending side, if the system has taken nothing since
+// so many bytes.
 func finishReply(fd int, sent uint64, rest []byte) bool {
 	if taken, ok := bytesTaken(fd); !ok || taken != sent {
 		return false
@@ -165,7 +166,8 @@
 // bytesTaken is how many bytes the system has taken from this process on a connection, sent or not. It is not
 // known where the system does not say so.
 func bytesTaken(fd int) (n uint64, ok bool) {
-	queued, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ) // first: what is acknowledged meanwhile counts twice, not never
+	// First what is queued: what is acknowledged meanwhile then counts twice, not never.
+	queued, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ)
 	if err != nil {
 		return 0, false
 	}
--- a/internal/net/replywriter_test.go
+++ b/internal/net/replywriter_test.go
@@ -36,8 +36,9 @@
 // writeRaw is what a held thread does once it goes on.
 func writeRaw(t *testing.T, w *replyWriter, text string) (err error) {
 	t.Helper()
-	if controlErr := w.raw.Control(func(fd uintptr) { _, err = write(int(fd), []byte(text)) }); controlErr != nil {
-		t.Fatal(controlErr)
+	failure := w.raw.Control(func(fd uintptr) { _, err = write(int(fd), []byte(text)) })
+	if failure != nil {
+		t.Fatal(failure)
 	}
 	return err
 }
--- a/internal/net/socket.go
+++ b/internal/net/socket.go
@@ -16,13 +16,14 @@
 	limit time.Duration   // for a message, from when the system first does not take it whole
 }
 
-// NewSocket returns the socket of a connection on which a message that the system does not take at once may take
-// as long as the limit says.
+// NewSocket returns the socket of a connection on which a message that the system does not take at once may
+// take as long as the limit says.
 func NewSocket(c net.Conn, limit time.Duration) *Socket {
 	return &Socket{c: c, raw: rawConn(c), limit: limit}
 }
 
-// setLimit begins the time of a message. That takes looks at clocks, which must not come before a system call.
+// setLimit begins the time of a message. That takes looks at clocks, which must not come before a system
+// call.
 func (s *Socket) setLimit() { _ = s.c.SetWriteDeadline(time.Now().Add(s.limit)) }
 
 func rawConn(c net.Conn) syscall.RawConn {
@@ -124,8 +125,8 @@
 	_ = raw.Control(func(fd uintptr) { _ = unix.Shutdown(int(fd), unix.SHUT_RDWR) })
 }
 
-// arrivals tells when bytes that were just read had come. The process may have been held up before it read them,
-// and what a client waits for counts from when it sent them.
+// arrivals tells when bytes that were just read had come. The process may have been held up before it read
+// them, and what a client waits for counts from when it sent them.
 type arrivals struct {
 	raw  syscall.RawConn
 	mute bool // the system does not say
@@ -158,8 +159,8 @@
 	return left
 }
 
-// hasEnded looks by poll(2) whether the other side of a connection has ended, again where a signal has broken in:
-// a look that failed says nothing.
+// hasEnded looks by poll(2) whether the other side of a connection has ended, again where a signal has
+// broken in: a look that failed says nothing.
 func hasEnded(fd int32, poll func(fds []unix.PollFd, timeout int) (int, error)) bool {
 	look := []unix.PollFd{{Fd: fd, Events: unix.POLLRDHUP}}
 	n, err := poll(look, 0)
--- a/internal/net/socket_test.go
+++ b/internal/net/socket_test.go
@@ -93,8 +93,8 @@
 	}
 }
 
-// A signal, or memory that is short for a moment, breaks a look at a client's connection off: that does not pass
-// for 'still there'.
+// A signal, or memory that is short for a moment, breaks a look at a client's connection off: that does not
+// pass for 'still there'.
 func TestABrokenLookAtAClientIsMadeAgain(t *testing.T) {
 	for _, failure := range []error{unix.EINTR, unix.EAGAIN} {
 		looks := 0
--- a/internal/platform/logorder_test.go
+++ b/internal/platform/logorder_test.go
@@ -1,7 +1,7 @@
 package platform
 
-// Incident 2157b7: to log takes looks at the clock and locks, and a thread may be held up there. What is decided
-// is carried out first.
+// Incident 2157b7: to log takes looks at the clock and locks, and a thread may be held up there. What is
+// decided is carried out first.
 
 import (
 	"net"
@@ -42,7 +42,8 @@
 func TestAnAnswerDoesNotWaitForTheLog(t *testing.T) {
 	l := standin.NewHeldLog(t, "request ended")
 	k, _ := runWithLog(t, l, standin.NewNode(t, func(standin.Part) (string, string) { return "B", "" }))
-	r := standin.Call(t, k.Addr(), "POST", "/rate-check", [][2]string{{"X-Call-Id", "q1"}, {"X-Budget", "0.3"}}, oneSlice)
+	head := [][2]string{{"X-Call-Id", "q1"}, {"X-Budget", "0.3"}}
+	r := standin.Call(t, k.Addr(), "POST", "/rate-check", head, oneSlice)
 	if r.Status != 503 {
 		t.Fatalf("%d %s", r.Status, r.Body)
 	}
@@ -59,7 +60,8 @@
 		t.Fatal(err)
 	}
 	until := time.Now().Add(3 * time.Second)
-	if err := c.Write("POST", "/rate-check", "a", [][2]string{{"X-Call-Id", "q1"}}, []byte(oneSlice), until); err != nil {
+	head := [][2]string{{"X-Call-Id", "q1"}}
+	if err := c.Write("POST", "/rate-check", "a", head, []byte(oneSlice), until); err != nil {
 		t.Fatal(err)
 	}
 	standin.Until(t, "the part", func() bool { return len(node.Parts()) > 0 })
--- a/internal/platform/narrow_test.go
+++ b/internal/platform/narrow_test.go
@@ -71,8 +71,8 @@
 	return c
 }
 
-// Discovery tells that a node drains while a call for it is queued, and the core has not come to take the list in:
-// the call is not begun. One that the node may have is.
+// Discovery tells that a node drains while a call for it is queued, and the core has not come to take the
+// list in: the call is not begun. One that the node may have is.
 func TestNoCallBeginsOnceTheListSaysThatItsNodeDrains(t *testing.T) {
 	n, id, told := wired(t)
 	c := n.attach(id)
--- a/internal/platform/nodewrite.go
+++ b/internal/platform/nodewrite.go
@@ -23,8 +23,8 @@
 
 // encodeCall encodes a call as it is at this moment, with those of its parts that are still waited for and
 // may begin. For each of these a write has begun (Attempt.BeginWrite). held are those that may not begin.
-func (c *nodeConn) encodeCall(b []byte, call []*core.Attempt, now time.Time) (frame []byte, carried []*core.Attempt,
-	held []heldAttempt) {
+func (c *nodeConn) encodeCall(b []byte, call []*core.Attempt, now time.Time) (frame []byte,
+	carried []*core.Attempt, held []heldAttempt) {
 	b = append(b[:0], 0, 0, 0, 0, '1')
 	for _, a := range call {
 		id := wireID(a)
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -91,9 +91,9 @@
 	watcher *watcher
 }
 
-// ApplyLimits keeps this process within the platform's limits on cores and memory. The limit on cores bounds
-// processor time, not how many threads may run at a time: with a single one, a thread that the system holds up
-// would hold up the whole process.
+// ApplyLimits keeps this process within the platform's limits on cores and memory. The limit on cores
+// bounds processor time, not how many threads may run at a time: with a single one, a thread that the
+// system holds up would hold up the whole process.
 func (c *Config) ApplyLimits() {
 	runtime.GOMAXPROCS(max(leastThreads, int(c.Limits.Cores)))
 	debug.SetMemoryLimit(int64(c.Limits.MemoryMB) << 20 * 6 / 10)
--- a/internal/rig/clock.go
+++ b/internal/rig/clock.go
@@ -33,8 +33,8 @@
 	pending map[int]clockLook // by thread
 }
 
-// begin takes in that a thread makes a call. It tells whether that is a look at a clock, at whose end the thread
-// is to stop.
+// begin takes in that a thread makes a call. It tells whether that is a look at a clock, at whose end the
+// thread is to stop.
 func (c *clockTracer) begin(t *tracer, tid int) bool {
 	info, ok := callInfo(tid)
 	if !ok || info.number != unix.SYS_CLOCK_GETTIME {
@@ -78,8 +78,8 @@
 	if !readMemory(pid, at, b[:]) {
 		return
 	}
-	ns := int64(binary.LittleEndian.Uint64(b[:]))*int64(time.Second) + int64(binary.LittleEndian.Uint64(b[wordSize:])) +
-		int64(by)
+	seconds := int64(binary.LittleEndian.Uint64(b[:]))
+	ns := seconds*int64(time.Second) + int64(binary.LittleEndian.Uint64(b[wordSize:])) + int64(by)
 	binary.LittleEndian.PutUint64(b[:], uint64(ns/int64(time.Second)))
 	binary.LittleEndian.PutUint64(b[wordSize:], uint64(ns%int64(time.Second)))
 	writeMemory(pid, at, b[:])
--- a/internal/rig/discovery.go
+++ b/internal/rig/discovery.go
@@ -1,7 +1,7 @@
 package rig
 
-// The stand-in for discovery: one list for all members, each of which reaches the nodes over relays of its own
-// and is known by the port that it asks at. A change is told at once to each call that waits.
+// The stand-in for discovery: one list for all members, each of which reaches the nodes over relays of its
+// own and is known by the port that it asks at. A change is told at once to each call that waits.
 
 import (
 	"encoding/json"
--- a/internal/rig/late_test.go
+++ b/internal/rig/late_test.go
@@ -68,10 +68,10 @@
 	stop := make(chan struct{})
 	var draining sync.WaitGroup
 	draining.Go(func() { drainInTurn(p.rig, stop, rand.New(rand.NewPCG(p.rig.cfg.Seed, 5))) })
-	endings := make(chan ending, asked)
+	front, endings := p.rig.Member("m00").Front(), make(chan ending, asked)
 	var out sync.WaitGroup
 	for i := range asked {
-		out.Go(func() { endings <- askOnce(p.rig.Member("m00").Front(), fmt.Sprintf("h%04d", i), p.budget, i%5 == 4) })
+		out.Go(func() { endings <- askOnce(front, fmt.Sprintf("h%04d", i), p.budget, i%5 == 4) })
 		time.Sleep(every)
 	}
 	out.Wait()
@@ -126,16 +126,16 @@
 	lateEvery   = 30 * time.Millisecond
 )
 
-// Incident 2157b7: a request was refused in time, and its client never heard of it. The thread that writes the
-// reply is held in its system call, for longer than the client waits.
+// Incident 2157b7: a request was refused in time, and its client never heard of it. The thread that writes
+// the reply is held in its system call, for longer than the client waits.
 func TestAReplyWhoseWriterIsHeldReachesItsClient(t *testing.T) {
 	p := playLate(t, 61, shortBudget, &SyscallFaults{Seed: 61, Holds: []SyscallHold{
 		{Call: HeldReply, Share: 0.15, Least: heldLeast, Most: heldMost}}})
 	p.ask(lateAsked, lateEvery, heldMost)
 }
 
-// Threads are held just behind a look at a clock, each for a short time. One that is held must not hold up the
-// others: a process in which only one may run at a time stands still with it.
+// Threads are held just behind a look at a clock, each for a short time. One that is held must not hold up
+// the others: a process in which only one may run at a time stands still with it.
 func TestAThreadThatIsHeldHoldsUpNoOther(t *testing.T) {
 	p := playLate(t, 62, shortBudget, &SyscallFaults{Seed: 62, Clock: &ClockFaults{Share: 0.01,
 		Least: 10 * time.Millisecond, Most: 150 * time.Millisecond}})
--- a/internal/rig/soak_test.go
+++ b/internal/rig/soak_test.go
@@ -61,7 +61,8 @@
 			{3 * time.Second, -time.Hour}, {5 * time.Second, 2 * time.Second}}}
 	case soakHolds:
 		f.Holds = []SyscallHold{{HeldAttempt, 0.1, 20 * time.Millisecond, time.Second},
-			{HeldReply, 0.05, 20 * time.Millisecond, time.Second}, {HeldPeek, 0.01, 20 * time.Millisecond, time.Second}}
+			{HeldReply, 0.05, 20 * time.Millisecond, time.Second},
+			{HeldPeek, 0.01, 20 * time.Millisecond, time.Second}}
 	case soakFailing:
 		for _, number := range []uint64{unix.SYS_READ, unix.SYS_WRITE} {
 			for _, errno := range []syscall.Errno{unix.ETIMEDOUT, unix.EHOSTUNREACH, unix.ENOBUFS, unix.ENOMEM} {
@@ -74,8 +75,8 @@
 	return f
 }
 
-// commonFaults are the faults of each seed's system calls: a thread held for as long as may be between its clock
-// and its write, short reads and writes, and calls that fail as Linux documents them.
+// commonFaults are the faults of each seed's system calls: a thread held for as long as may be between its
+// clock and its write, short reads and writes, and calls that fail as Linux documents them.
 func commonFaults(seed uint64) *SyscallFaults {
 	fail := func(number uint64, errno syscall.Errno) SyscallError {
 		return SyscallError{Number: number, Errno: errno, Share: 0.01}
--- a/internal/rig/syscalls.go
+++ b/internal/rig/syscalls.go
@@ -38,8 +38,8 @@
 
 // ClockFaults says what befalls a process's looks at its clocks.
 type ClockFaults struct {
-	// Share is the share of looks behind which the thread is held, for Least to Most: it goes on with a time that
-	// is over. Where Every is set that is so for the first For of each such span only.
+	// Share is the share of looks behind which the thread is held, for Least to Most: it goes on with a time
+	// that is over. Where Every is set that is so for the first For of each such span only.
 	Share float64       `json:"share"`
 	Least time.Duration `json:"least"`
 	Most  time.Duration `json:"most"`
--- a/internal/watchdog/watchdog.go
+++ b/internal/watchdog/watchdog.go
@@ -1,6 +1,6 @@
-// Package watchdog notices system calls that do not return because their thread is held up. Whoever makes such
-// a call says so before and behind it; neither waits, reads a clock or sets a timer, as what comes between a
-// decision and its system call delays it.
+// Package watchdog notices system calls that do not return because their thread is held up. Whoever makes
+// such a call says so before and behind it; neither waits, reads a clock or sets a timer, as what comes
+// between a decision and its system call delays it.
 package watchdog
 
 import (
@@ -24,9 +24,9 @@
 	running bool
 }
 
-// Begin says that a call is about to be made. At each look that finds it under way again, held is called with
-// how many whole ticks it has lasted for certain, on a goroutine of its own, as it may be held up, too. By then
-// the call may just have ended.
+// Begin says that a call is about to be made. At each look that finds it under way again, held is called
+// with how many whole ticks it has lasted for certain, on a goroutine of its own, as it may be held up,
+// too. By then the call may just have ended.
 func (w *Watchdog) Begin(held func(ticks int)) *Call {
 	c := &Call{held: held}
 	w.mu.Lock()
