Have who declares a death say so as a vote: a suspicion may else never end

Cause: a death takes a quorum of votes by how many members are in sight at whoever counts. Members that were being watched themselves for a moment left the others with a quorum of two; they declared the death, and vote no more, as the member is dead to them. One that had all four in sight needs three votes, had its own and one more, and waited for ever.

Change: who declares a death has looked for itself, and adds its vote to what it tells.

Tests of membership, fleetsim, verdict and quota pass.

--- a/internal/membership/exhaustive_test.go
+++ b/internal/membership/exhaustive_test.go
@@ -85,7 +85,7 @@
 	birth := uint64(len(w.births)+1) * 0x1111
 	w.births[birth] = len(w.births)
 	v, err := New(Config{Name: string(rune('a' + i)), Zone: "z", Addr: checkAddr(i), Birth: birth, Seed: birth,
-		Period: checkPeriod, Settings: Settings{Most: 4, Join: []netip.AddrPort{checkAddr(0), checkAddr(1),
+		Period: checkPeriod, Settings: Settings{Most: 8, Join: []netip.AddrPort{checkAddr(0), checkAddr(1),
 			checkAddr(2)}}, Ablate: Ablation{Equal: equal}}, w.now)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -310,9 +310,14 @@
 	return true
 }
 
-// declare holds a member to be dead.
+// declare holds a member to be dead. Whoever does has looked for itself, and says so: it votes no more once
+// the member is dead here, and one whose quorum is higher, as it has more members in sight, would else lack
+// its vote.
 func (v *View) declare(m *member) {
 	votes, r := m.votes, m.record
+	if by := uint32(v.self.birth & lowBits); !slices.Contains(votes, by) && len(votes) < votesMost {
+		votes = append(slices.Clip(votes), by)
+	}
 	r.state = Dead
 	if m = v.set(r, v.now); m == nil {
 		return
