--- a/internal/membership/suspicion_test.go
+++ b/internal/membership/suspicion_test.go
@@ -23,7 +23,8 @@
 
 // deaf is a world in which the first members hear nothing of the others.
 func deaf(t testing.TB) *world {
-	w := &world{now: 1_000_000, views: make([]*View, cutMembers), births: map[uint64]int{}, gone: map[uint64]bool{}}
+	w := &world{now: 1_000_000, views: make([]*View, cutMembers), births: map[uint64]int{},
+		gone: map[uint64]bool{}}
 	for i := range w.views {
 		w.start(t, i, false)
 	}
