Count attempts that hedged requests beat as evidence, from the second one in a row on

Cause, a matter of the decision: an attempt at a node that answers nobody is given up once its hedged request is answered, after some 110 ms; what is given up counted as late only over eight times the usual time of its class, which is more on a busy machine. So hedged requests hid the silent node.

Change: an attempt that is given up, while one of its part that was sent later has been answered, is beaten.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -86,5 +86,15 @@
 	}
 }
 
+// beaten tells that an attempt of the same part that was sent later has been answered.
+func (a *Attempt) beaten() bool {
+	for _, later := range a.p.tries[a.number+1:] {
+		if later.over && later.outcome == balance.OK {
+			return true
+		}
+	}
+	return false
+}
+
 // First tells that the attempt is the first of its part.
 func (a *Attempt) First() bool { return a.number == 0 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -76,6 +76,15 @@
 	Over(a *Attempt)
 }
 
+// Seen is how an attempt at a server ended.
+type Seen struct {
+	Replica balance.ReplicaID
+	Class   int
+	Outcome balance.Outcome
+	Took    time.Duration
+	Beaten  bool // it was given up, and an attempt of its part that was sent later has been answered
+}
+
 // Config is what a core is made of.
 type Config struct {
 	Settings balance.Settings
@@ -88,7 +97,7 @@
 	// Gate is asked before a query is queued and before an attempt is sent. Nil: all may.
 	Gate Gate
 	// Saw is told how each attempt ended, by the core's goroutine. It must not wait. Nil: nobody is.
-	Saw func(id balance.ReplicaID, class int, o balance.Outcome, took time.Duration)
+	Saw func(Seen)
 	// Guard chooses which of the servers that are out by evidence, the first to be judged first, may be so.
 	// Nil: none.
 	Guard func(listed []verdict.Holder, sick []uint64) map[uint64]bool
@@ -483,7 +492,7 @@
 		c.cfg.Gate.Over(a)
 	}
 	if c.cfg.Saw != nil {
-		c.cfg.Saw(a.Replica, a.Query.Class, o, time.Duration(c.now-a.sent)*time.Microsecond)
+		c.cfg.Saw(Seen{a.Replica, a.Query.Class, o, micros(c.now - a.sent), o == balance.Cancelled && a.beaten()})
 	}
 	p := a.p
 	p.live--
--- a/internal/platform/fleet.go
+++ b/internal/platform/fleet.go
@@ -121,19 +121,21 @@
 }
 
 // witness has the fleet hear how attempts end, as far as that says something of the node.
-func (k *Coordinator) witness(id balance.ReplicaID, class int, o balance.Outcome, took time.Duration) {
+func (k *Coordinator) witness(s core.Seen) {
 	end := verdict.Broken
-	switch o {
-	case balance.OK:
+	switch {
+	case s.Outcome == balance.OK:
 		end = verdict.Served
-	case balance.TimedOut:
+	case s.Outcome == balance.TimedOut:
 		end = verdict.Unheard
-	case balance.Cancelled:
+	case s.Beaten:
+		end = verdict.Beaten
+	case s.Outcome == balance.Cancelled:
 		end = verdict.GivenUp
-	case balance.Busy, balance.NotSent:
+	case s.Outcome == balance.Busy, s.Outcome == balance.NotSent:
 		return
 	}
-	k.fleet.Saw(uint64(id), class, end, took)
+	k.fleet.Saw(uint64(s.Replica), s.Class, end, s.Took)
 }
 
 // judge has evidence against data nodes count, where the fleet's file says so.
--- a/internal/verdict/evidence_test.go
+++ b/internal/verdict/evidence_test.go
@@ -204,6 +204,22 @@
 				return Served, 10_000
 			}
 		}, "n3"},
+		{"beaten by hedged requests, soon", 5, 8, 0, func(c *court) {
+			c.outcome = func(_, n int) (Ending, Micros) {
+				if n == 3 {
+					return Beaten, 60_000
+				}
+				return Served, 20_000
+			}
+		}, "n3"},
+		{"one in ten is beaten anywhere", 5, 8, 0, func(c *court) {
+			c.outcome = func(int, int) (Ending, Micros) {
+				if c.rng.IntN(10) == 0 {
+					return Beaten, 60_000
+				}
+				return Served, 20_000
+			}
+		}, ""},
 		{"deaf", 5, 8, 0, func(c *court) {
 			c.outcome = func(_, n int) (Ending, Micros) {
 				if n == 3 {
--- a/internal/verdict/witness.go
+++ b/internal/verdict/witness.go
@@ -12,8 +12,11 @@
 	boutEnds  = 6      // good outcomes in a row after which a bout of bad ones is over
 	lateBy    = 8.0    // times the usual time of the class
 	lateLeast = 50_000 // us: what takes less is never late
-	usualStep = 1.05   // by which one outcome moves the usual time
-	mostKinds = 256    // classes whose usual time is kept
+	// beatenLeast is how many attempts have to be beaten, with none served between, before one counts: whoever
+	// answers is beaten now and then, but who answers nobody is hidden behind its hedged requests.
+	beatenLeast = 2
+	usualStep   = 1.05 // by which one outcome moves the usual time
+	mostKinds   = 256  // classes whose usual time is kept
 )
 
 // Ending is how an attempt at a node ended, as evidence sees it.
@@ -25,6 +28,7 @@
 	Broken                // an error, a lost connection, or none
 	Unheard               // no answer in its time; late only if that was long
 	GivenUp               // withdrawn: late if it had taken long by then, else nothing
+	Beaten                // withdrawn, as an attempt of the same part that was sent later has been answered
 )
 
 // Tally is what one member has seen of one node: the bad outcomes of the present bout, and the good ones
@@ -47,6 +51,7 @@
 	well, row   int           // good ones of the bout, and in a row at its end
 	first, last Micros
 	at          Micros // of the last outcome of any kind
+	beaten      int    // attempts that were, since it last served one
 }
 
 // Witness counts what this member sees. It is not safe for several goroutines at once.
@@ -99,10 +104,18 @@
 		w.nodes[node] = n
 	}
 	n.at = now
+	if e == Served {
+		n.beaten = 0
+	}
 	if e == Served && !late {
 		n.served(w.slot(now))
 		return
 	}
+	if e == Beaten {
+		if n.beaten++; n.beaten < beatenLeast {
+			return
+		}
+	}
 	if n.bad+n.late == 0 {
 		n.first, n.well = now, 0
 	}
