Write a reply for a held writer whole, where the system takes a part of it

Cause: the write in place of the held one was made once; a short write was taken for a whole one, and the sending side ended behind a part of the reply.

Change: it is made until all is written or the system takes nothing.

--- a/internal/net/replywriter.go
+++ b/internal/net/replywriter.go
@@ -148,14 +148,26 @@
 	if taken, ok := bytesTaken(fd); !ok || taken != sent {
 		return false
 	}
-	n, _ := write(fd, rest)
-	if n == 0 {
+	if writeAll(rest, func(b []byte) (int, error) { return write(fd, b) }) == 0 {
 		return false
 	}
 	_ = unix.Shutdown(fd, unix.SHUT_WR)
 	return true
 }
 
+// writeAll makes system calls until all is written or one fails, as the system may take a part only. It returns
+// how much was written.
+func writeAll(b []byte, write func([]byte) (int, error)) (written int) {
+	for written < len(b) {
+		n, err := write(b[written:])
+		written += n
+		if err != nil {
+			break
+		}
+	}
+	return written
+}
+
 // wasRescued tells that a reply was finished by the watchdog, and that nothing more can be sent.
 func (w *replyWriter) wasRescued() bool {
 	w.mu.Lock()
--- a/internal/net/replywriter_test.go
+++ b/internal/net/replywriter_test.go
@@ -93,3 +93,19 @@
 		t.Errorf("the client has %q, %v", got, err)
 	}
 }
+
+// The system takes a byte or two at a time: a reply that is finished for a held writer is whole all the same.
+func TestAFinishedReplyIsWhole(t *testing.T) {
+	var got []byte
+	n := writeAll([]byte("reply"), func(b []byte) (int, error) {
+		k := min(len(b), 2)
+		got = append(got, b[:k]...)
+		return k, nil
+	})
+	if n != 5 || string(got) != "reply" {
+		t.Errorf("%d bytes, %q", n, got)
+	}
+	if n = writeAll([]byte("reply"), func(b []byte) (int, error) { return 0, unix.EAGAIN }); n != 0 {
+		t.Errorf("%d bytes where the system takes none", n)
+	}
+}
