Share the barrier's end and the start of searches; play held calls of other kinds

writebarrier: one unlock tells who waits for it, where three places did. membership's searches begin from one function.

--- a/internal/core/writebarrier.go
+++ b/internal/core/writebarrier.go
@@ -47,14 +47,7 @@
 	if i := slices.Index(b.inside, w); i >= 0 {
 		b.inside = slices.Delete(b.inside, i, i+1)
 	}
-	var drained func()
-	if len(b.inside) == 0 {
-		drained, b.drained = b.drained, nil
-	}
-	b.mu.Unlock()
-	if drained != nil {
-		drained()
-	}
+	b.unlock()
 }
 
 // close lets no further write begin and calls drained once none can put out a byte any more: at once where
@@ -88,14 +81,7 @@
 	if aborted {
 		w.Abort()
 	}
-	var drained func()
-	if len(b.inside) == 0 {
-		drained, b.drained = b.drained, nil
-	}
-	b.mu.Unlock()
-	if drained != nil {
-		drained()
-	}
+	b.unlock()
 }
 
 // abort ends the writes that are still under way. It holds the lock meanwhile: a writer that has returned is
@@ -106,8 +92,15 @@
 		w.Abort()
 	}
 	b.inside = nil
-	drained := b.drained
-	b.drained = nil
+	b.unlock()
+}
+
+// unlock gives the lock back, and then tells who waits for it that no write is under way, if that is so.
+func (b *writeBarrier) unlock() {
+	var drained func()
+	if len(b.inside) == 0 {
+		drained, b.drained = b.drained, nil
+	}
 	b.mu.Unlock()
 	if drained != nil {
 		drained()
--- a/internal/membership/exhaustive_test.go
+++ b/internal/membership/exhaustive_test.go
@@ -275,27 +275,27 @@
 	equal                                       bool
 }
 
-// settled is three members that see one another.
-func settled(t testing.TB, equal bool) *world {
-	w := &world{now: 1_000_000, views: make([]*View, 3), births: map[uint64]int{}, gone: map[uint64]bool{}}
+// settled is some members that see one another.
+func settled(t testing.TB, members int, equal bool) *world {
+	w := &world{now: 1_000_000, views: make([]*View, members), births: map[uint64]int{}, gone: map[uint64]bool{}}
 	for i := range w.views {
 		w.start(t, i, equal)
 	}
-	for range 30 * slots {
+	for range 40 * slots {
 		w.tick()
 		for len(w.flying) > 0 {
 			w.deliver(0)
 		}
 	}
 	if !w.agree() {
-		t.Fatal("three members never saw one another")
+		t.Fatal("the members never saw one another")
 	}
 	return w
 }
 
 // run searches all states within the bounds, depth first, and returns the first fault with the way to it.
 func (s search) run(t testing.TB) (fault string, path []string, states, ends int) {
-	first := settled(t, s.equal)
+	first := settled(t, 3, s.equal)
 	seen := map[uint64]int8{} // the most slots left with which a state was met
 	stack := []*world{first}
 	first.left = s.slots
--- a/internal/membership/suspicion_test.go
+++ b/internal/membership/suspicion_test.go
@@ -21,25 +21,6 @@
 
 func (h heldUp) at(slot int) bool { return slot >= h.from && slot < h.from+h.slots }
 
-// deaf is a world in which the first members hear nothing of the others.
-func deaf(t testing.TB) *world {
-	w := &world{now: 1_000_000, views: make([]*View, cutMembers), births: map[uint64]int{},
-		gone: map[uint64]bool{}}
-	for i := range w.views {
-		w.start(t, i, false)
-	}
-	for range 40 * slots {
-		w.tick()
-		for len(w.flying) > 0 {
-			w.deliver(0)
-		}
-	}
-	if !w.agree() {
-		t.Fatal("they never saw one another")
-	}
-	return w
-}
-
 // play goes on up to the bound, and names a suspicion that has not ended by then.
 func (w *world) play(holds []heldUp) string {
 	held := func(i, slot int) bool {
@@ -85,7 +66,7 @@
 
 // No suspicion outlives its bound, whoever of those that are well is held up meanwhile.
 func TestNoSuspicionOutlivesItsBound(t *testing.T) {
-	first := deaf(t)
+	first := settled(t, cutMembers, false)
 	var holds []heldUp
 	for member := cutDeaf; member < cutMembers; member++ {
 		for from := 0; from < holdSlots; from += bound(3, 1) {
--- a/internal/rig/late_test.go
+++ b/internal/rig/late_test.go
@@ -141,3 +141,17 @@
 		Least: 10 * time.Millisecond, Most: 150 * time.Millisecond}})
 	p.ask(lateAsked, lateEvery, 150*time.Millisecond)
 }
+
+// Held calls of other kinds break no rule: the query for discovery's list, the log, a connect, the look at a
+// client before an attempt.
+func TestOtherCallsThatAreHeldBreakNoRule(t *testing.T) {
+	for i, kind := range []HeldCall{HeldQuery, HeldLog, HeldConnect, HeldPeek} {
+		t.Run(string(kind), func(t *testing.T) {
+			t.Parallel()
+			seed := uint64(70 + i)
+			p := playLate(t, seed, 300*time.Millisecond, &SyscallFaults{Seed: seed, Holds: []SyscallHold{
+				{Call: kind, Share: 0.05, Least: 300 * time.Millisecond, Most: time.Second}}})
+			p.ask(lateAsked, lateEvery, time.Second)
+		})
+	}
+}
