Take no time for an arrival's that bytes cannot have waited

An age over 10 s, or from before the read before, is not taken: where a system told nonsense, requests would count as late.

--- a/internal/net/socket.go
+++ b/internal/net/socket.go
@@ -129,9 +129,13 @@
 // them, and what a client waits for counts from when it sent them.
 type arrivals struct {
 	raw  syscall.RawConn
-	mute bool // the system does not say
+	mute bool      // the system does not say
+	last time.Time // of the read before
 }
 
+// arrivalMost is how long bytes may have waited at most: what is told to be older is no time of theirs.
+const arrivalMost = 10 * time.Second
+
 // at is when the last bytes came that were read by now.
 func (a *arrivals) at(now time.Time) time.Time {
 	if a.raw == nil || a.mute {
@@ -144,6 +148,13 @@
 			age = time.Duration(info.Last_data_recv) * time.Millisecond
 		}
 	})
+	if a.mute = a.mute || age > arrivalMost; a.mute {
+		return now
+	}
+	if !a.last.IsZero() { // what had come by the read before was read then
+		age = min(age, now.Sub(a.last))
+	}
+	a.last = now
 	return now.Add(-age)
 }
 
