Have the node that does not read take little, so that its test ends on a busy machine

Seen: the tests of internal/grpcnode failed once, with the output lost; TestNodeThatDoesNotRead takes 22 s of their 28 under the race detector, and up to 87 s beside other tests, where each of six waits may last 30 s. That it was the one that failed is inferred, not shown.

Cause: the node reads nothing until the system's buffers are full of answers to its pings, which are megabytes.

Change: the node's receive buffer is 4 KiB. What is wanted stays as it was.

--- a/internal/grpcnode/grpcnode_test.go
+++ b/internal/grpcnode/grpcnode_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -441,7 +442,14 @@
 
 // A node that does not read costs its own connection, and no more memory than the bounds.
 func TestNodeThatDoesNotRead(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	// The node has room for little: to fill megabytes with answers to pings takes longer than is waited for,
+	// on a busy machine.
+	small := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10)
+		})
+	}}
+	l, err := small.Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/net/replywriter.go
+++ b/internal/net/replywriter.go
@@ -155,8 +155,8 @@
 	return true
 }
 
-// writeAll makes system calls until all is written or one fails, as the system may take a part only. It returns
-// how much was written.
+// writeAll makes system calls until all is written or one fails, as the system may take a part only. It
+// returns how much was written.
 func writeAll(b []byte, write func([]byte) (int, error)) (written int) {
 	for written < len(b) {
 		n, err := write(b[written:])
