--- a/internal/net/socket.go
+++ b/internal/net/socket.go
@@ -129,8 +129,7 @@
 // them, and what a client waits for counts from when it sent them.
 type arrivals struct {
 	raw  syscall.RawConn
-	mute bool      // the system does not say
-	last time.Time // of the read before
+	mute bool // the system does not say
 }
 
 // arrivalMost is how long bytes may have waited at most: what is told to be older is no time of theirs.
@@ -151,10 +150,6 @@
 	if a.mute = a.mute || age > arrivalMost; a.mute {
 		return now
 	}
-	if !a.last.IsZero() { // what had come by the read before was read then
-		age = min(age, now.Sub(a.last))
-	}
-	a.last = now
 	return now.Add(-age)
 }
 
--- a/internal/net/socket_test.go
+++ b/internal/net/socket_test.go
@@ -135,3 +135,23 @@
 		t.Error("a time is told of a connection that has ended")
 	}
 }
+
+// A message that waited is read in two pieces, as the system may give a part only: both count from its arrival.
+func TestAPieceThatIsReadLaterCountsFromItsArrival(t *testing.T) {
+	w, client := replyPair(t)
+	const waited = 300 * time.Millisecond
+	if _, err := client.Write([]byte("xy")); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(waited)
+	a := arrivals{raw: w.raw}
+	for range 2 {
+		if _, err := w.conn.Read(make([]byte, 1)); err != nil {
+			t.Fatal(err)
+		}
+		now := time.Now()
+		if age := now.Sub(a.at(now)); age < waited/2 {
+			t.Errorf("it counts as %v old, and has waited for %v", age, waited)
+		}
+	}
+}
