--- a/internal/net/socket_test.go
+++ b/internal/net/socket_test.go
@@ -136,7 +136,8 @@
 	}
 }
 
-// A message that waited is read in two pieces, as the system may give a part only: both count from its arrival.
+// A message that waited is read in two pieces, as the system may give a part only: both count from its
+// arrival.
 func TestAPieceThatIsReadLaterCountsFromItsArrival(t *testing.T) {
 	w, client := replyPair(t)
 	const waited = 300 * time.Millisecond
