--- a/internal/rig/soak_test.go
+++ b/internal/rig/soak_test.go
@@ -354,8 +354,8 @@
 	t.Logf("seed %d: kind %d, crowd %v, %d requests: %v", seed, kindOf(seed), s.crowded, len(s.requests), ends)
 }
 
-// crowdBehindLooks tells of the seeds on which a crowd comes while threads are held behind looks at a clock: a
-// crowd looks so often that as many threads are held at a time as may run.
+// crowdBehindLooks tells of the seeds on which a crowd comes while threads are held behind looks at a
+// clock: a crowd looks so often that as many threads are held at a time as may run.
 func crowdBehindLooks(seed uint64) bool { return kindOf(seed) == soakLooks && isCrowded(seed) }
 
 func isCrowded(seed uint64) bool { return seed%4 == 3 }
