Write replies and calls by the standard library's call, which the race detector knows

The order was there; the detector was not told.

Change: syscall.Write, as net's own writes. The stand-in guards what it keeps by a lock, and the check is the same.

--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 // state is a coordinator with fixed figures.
 type state struct {
 	ready bool
+	mu    sync.Mutex // guards calls
 	calls []string
 }
 
@@ -25,7 +27,9 @@
 
 // Cordon knows one data node, and one that it gets to too late.
 func (s *state) Cordon(id string, out bool, _ time.Duration) error {
+	s.mu.Lock()
 	s.calls = append(s.calls, fmt.Sprint(id, out))
+	s.mu.Unlock()
 	switch id {
 	case "s-1":
 		return nil
@@ -76,6 +80,8 @@
 			t.Errorf("%s %s: the connection goes on", c.method, c.path)
 		}
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if got := strings.Join(s.calls, " "); got != "s-1true s-1false s-2true latetrue" {
 		t.Fatalf("the coordinator was told %q", got)
 	}
--- a/internal/net/socket.go
+++ b/internal/net/socket.go
@@ -104,10 +104,11 @@
 	return err
 }
 
-// write makes one write(2), again where a signal has broken in.
+// write makes one write(2), again where a signal has broken in. It is the standard library's, which tells
+// the race detector that what came before it comes before a read of the bytes.
 func write(fd int, b []byte) (int, error) {
 	for {
-		n, err := unix.Write(fd, b)
+		n, err := syscall.Write(fd, b)
 		if err != unix.EINTR {
 			return max(n, 0), err
 		}
