--- a/review/1/main.go
+++ b/review/1/main.go
@@ -26,7 +26,7 @@
 	think         = 60 * time.Millisecond // of a client, between an answer and its next request
 	longest       = 1200 * time.Millisecond
 	killAfter     = longest + 700*time.Millisecond + 100*time.Millisecond // after SIGTERM, with slack
-	excused       = 700 * time.Millisecond                                // requests that came earlier do not count
+	excused       = 700 * time.Millisecond                                // after SIGTERM: requests that came earlier do not count
 	settled       = 50 * time.Millisecond                                 // nor those that came so late
 )
 
