--- a/review/1/main.go
+++ b/review/1/main.go
@@ -25,9 +25,12 @@
 	clientCount   = 8
 	think         = 60 * time.Millisecond // of a client, between an answer and its next request
 	longest       = 1200 * time.Millisecond
-	killAfter     = longest + 700*time.Millisecond + 100*time.Millisecond // after SIGTERM, with slack
-	excused       = 700 * time.Millisecond                                // after SIGTERM: requests that came earlier do not count
-	settled       = 50 * time.Millisecond                                 // nor those that came so late
+
+	// After SIGTERM: when SIGKILL comes, with some slack, and which requests count. Those that came up to then,
+	// and those that came just before SIGKILL, do not.
+	killAfter = longest + 700*time.Millisecond + 100*time.Millisecond
+	excused   = 700 * time.Millisecond
+	settled   = 50 * time.Millisecond
 )
 
 // settings are those of vltava-ledger with shorter deadlines.
--- a/review/2/main.go
+++ b/review/2/main.go
@@ -17,6 +17,7 @@
 
 const (
 	cells, shards = 3, 6
+	warmUp        = 25 * time.Second       // of ordinary traffic
 	secondAfter   = 400 * time.Millisecond // the second configuration, after the first
 	firstPost     = 550 * time.Millisecond // the checked requests, after the first configuration
 	postEvery     = 100 * time.Millisecond
@@ -126,14 +127,17 @@
 			}
 			q := lab.Query{ID: fmt.Sprintf("%016x", rand.Uint64()), Class: "rate-check", Filter: "c41e77d0",
 				Budget: 4 * time.Second, Shards: rand.Perm(shards)[:3]}
-			if i%4 == 3 {
+			switch i % 8 { // the shares of the classes as in the brief
+			case 3, 7:
 				q.Class, q.Budget, q.Shards = "exchange-post", 3*time.Second, q.Shards[:1]
+			case 5:
+				q.Class, q.Budget, q.Shards = "day-report", 10*time.Second, rand.Perm(shards)[:4]
 			}
 			clients.Add(1)
 			go func() { defer clients.Done(); lab.Send(c.Listen, q) }()
 		}
 	}()
-	time.Sleep(4 * time.Second)
+	time.Sleep(warmUp)
 
 	// The first configuration.
 	c.Settings = lab.Settings(cells, shards, "read_like")
