--- a/review/lab-2/stalelist.go
+++ b/review/lab-2/stalelist.go
@@ -1,6 +1,6 @@
 package main
 
-// Case 9: a drain that the coordinator knows of, discovery that is down for some seconds, and an upgrade.
+// Case 10: a drain that the coordinator knows of, discovery that is down for some seconds, and an upgrade.
 
 import (
 	"fmt"
@@ -10,7 +10,7 @@
 )
 
 func init() {
-	cases["9"] = func(w *world) []string { return staleList(w, true) }
+	cases["10"] = func(w *world) []string { return staleList(w, true) }
 	cases["restart"] = func(w *world) []string { return staleList(w, false) }
 }
 
--- a/review/lab-2/values.go
+++ b/review/lab-2/values.go
@@ -1,6 +1,6 @@
 package main
 
-// Cases 7 and 8: spoilt answers of data nodes.
+// Cases 8 and 9: spoilt answers of data nodes.
 
 import (
 	"encoding/binary"
@@ -11,8 +11,8 @@
 )
 
 func init() {
-	cases["7"] = func(w *world) []string { return spoiltAnswers(w, shortLength) }
-	cases["8"] = func(w *world) []string { return spoiltAnswers(w, noise) }
+	cases["8"] = func(w *world) []string { return spoiltAnswers(w, shortLength) }
+	cases["9"] = func(w *world) []string { return spoiltAnswers(w, noise) }
 }
 
 // shortLength returns an answer whose frame says four bytes less than there are.
