Have a case end what it started also when its output has no reader

Cause: a trial whose output went into head was ended by SIGPIPE and left a coordinator behind. Change: review/lab-2 ignores SIGPIPE, and ends the case at SIGHUP as at SIGTERM.

--- a/review/lab-2/world.go
+++ b/review/lab-2/world.go
@@ -116,7 +116,8 @@
 // limitTime ends the case where it takes too long, or is told to end.
 func (w *world) limitTime() {
 	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Ignore(syscall.SIGPIPE) // a reader of the results that goes away must not end the case halfway
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	go func() {
 		select {
 		case <-signals:
