Serve no answer that has bytes behind it which may be the rest of its value

Cause: readLoop handled each frame as soon as its stated length had come. What stood behind it was looked at only afterwards, for the next answer's sake; by then the value was with the core.

Ruled out: a loss in the ring or in the core.

Text behind it ends the connection, and the attempt counts as failed and may have run, as other spoilt answers do. One or two bytes that might begin either are waited for, within the frame's time. All that has come is read before a frame is judged.

Why it works: a frame's length begins with at most two bytes that are text, its other two are not, so that the rest of a value (UTF-8 without control characters) passes for no frame.

TestBytesBehindAGoodAnswer had a row in which twenty letters behind an answer had to leave it served.

--- a/internal/platform/noderead.go
+++ b/internal/platform/noderead.go
@@ -4,12 +4,10 @@
 
 import (
 	"bytes"
-	"encoding/binary"
 	"errors"
 	"fmt"
 	"net"
 	"os"
-	"strings"
 	"time"
 
 	"lapislever/balance"
@@ -28,29 +26,25 @@
 // readLoop reads answers from the connection. Malformed ones may come from any node. The bytes after a
 // malformed answer are meaningless, so it ends the connection.
 func (c *nodeConn) readLoop(conn net.Conn) {
-	in := lnet.NewRing(maxFrame + 4)
+	in := lnet.NewRing(maxBuffered)
 	reader := &lnet.RetryingReader{Conn: conn}
 	partial := false // the ring holds an incomplete frame
 	for {
-		count, err := reader.Read(in.Free())
+		free := in.Free()
+		count, err := reader.Read(free)
 		in.Commit(count)
 		if count > 0 {
 			c.noteReceived()
 		}
+		// What stands behind a frame decides whether it is sound, so all that has come is read first.
+		if err == nil && count == len(free) && in.Len() < maxBuffered && lnet.HasInput(conn) {
+			continue
+		}
 		consumed := in.Len()
-		for {
-			b, frameErr := nextFrame(in)
-			if b != nil {
-				frameErr = c.handleFrame(b)
-			}
-			if frameErr != nil {
-				c.backend.log.Warn("bad frame from a node", "node", c.node.name, "err", frameErr)
-				c.close(frameErr)
-				return
-			}
-			if b == nil {
-				break
-			}
+		if frameErr := c.handleFrames(in); frameErr != nil {
+			c.backend.log.Warn("bad frame from a node", "node", c.node.name, "err", frameErr)
+			c.close(frameErr)
+			return
 		}
 		consumed -= in.Len()
 		switch {
@@ -145,133 +139,156 @@
 	return len(c.pending) == 0 && len(c.abandoned) == 0 && len(c.probes) == 0
 }
 
-// nextFrame takes one complete frame, without its length, out of the ring. It returns nil while bytes are
-// missing, and an error as soon as what is there cannot become a frame. It never allocates memory for
-// bytes that have not arrived.
-func nextFrame(in *lnet.Ring) ([]byte, error) {
-	var head [5]byte
-	n := in.Peek(head[:], 0)
-	if n < 4 {
-		return nil, nil
-	}
-	size := binary.LittleEndian.Uint32(head[:])
-	if size < 1 || size > maxFrame {
-		return nil, malformed("impossible frame length %d", size)
-	}
-	if n == 5 && (head[4] < '3' || head[4] > '5') && head[4] != 'X' {
-		return nil, malformed("unknown frame type %q", head[4])
-	}
-	if in.Len() < 4+int(size) {
-		if in.Len() > maxLine && in.Index([]byte("\n")) < 0 {
-			return nil, malformed("answer line too long")
+// handleFrames handles the frames at the start of the ring that are complete and known to be sound.
+func (c *nodeConn) handleFrames(in *lnet.Ring) error {
+	for {
+		size, err := nextFrame(in)
+		if size == 0 || err != nil {
+			return err
+		}
+		if ready, err := c.checkTrailing(in, size); !ready {
+			return err
+		}
+		b := make([]byte, size)
+		in.Peek(b, frameLengthSize)
+		in.Discard(frameLengthSize + size)
+		if err := c.handleFrame(b); err != nil {
+			return err
 		}
-		return nil, nil
 	}
-	b := make([]byte, size)
-	in.Peek(b, 4)
-	in.Discard(4 + int(size))
-	return b, nil
 }
 
 // handleFrame handles one frame from the node.
 func (c *nodeConn) handleFrame(b []byte) error {
 	rest := b[1:]
-	switch b[0] {
-	case '5':
+	switch letter := b[0]; letter {
+	case letterAnswer:
 		answer, err := parseAnswer(rest)
 		if err != nil {
 			return err
 		}
-		var sentAt time.Time
-		c.mu.Lock()
-		c.lastUsed = time.Now()
-		attempt := c.pending[answer.id]
-		_, wasCancelled := c.abandoned[answer.id]
-		switch {
-		case attempt != nil && !(wasCancelled && c.isQueued(attempt)):
-			if c.isQueued(attempt) {
-				c.mu.Unlock()
-				return malformed("answer to a part that was not sent")
-			}
-			sentAt = c.writtenAt[answer.id]
-			delete(c.pending, answer.id)
-			delete(c.writtenAt, answer.id)
-			if len(c.writtenAt) == 0 {
-				c.owedSince = time.Time{}
-			}
-			c.inFlight = c.countCalls()
-		case wasCancelled: // late: the attempt was cancelled
-			attempt = nil
-			delete(c.abandoned, answer.id)
-		default:
-			c.mu.Unlock() // if it duplicates an answer, the first one counts
-			return malformed("answer to an unknown part: %.100q", answer.id)
-		}
-		drained := c.retired && len(c.pending) == 0
-		c.mu.Unlock()
-		if drained {
-			c.wakeWriter()
-		}
-		if !sentAt.IsZero() {
-			if answer.outcome != balance.Busy { // which is answered at once, regardless of the queue
-				c.node.latency.add(time.Since(sentAt))
-			}
-			c.closeSilentSiblings(sentAt)
+		return c.handleAnswer(answer)
+	case letterProbe, letterLoadProbe:
+		return c.handleProbeReply(string(rest))
+	case letterRejected:
+		return fmt.Errorf("the node rejected a frame: %.100q", rest)
+	default:
+		return malformed("unknown frame type %q", letter)
+	}
+}
+
+// handleAnswer reports the end of an answered part to the core, unless the attempt was cancelled.
+func (c *nodeConn) handleAnswer(answer nodeAnswer) error {
+	attempt, sentAt, err := c.takeAnswered(answer.id)
+	if err != nil {
+		return err
+	}
+	if !sentAt.IsZero() {
+		if answer.outcome != balance.Busy { // which is answered at once, regardless of the queue
+			c.node.latency.add(time.Since(sentAt))
 		}
-		if attempt != nil {
-			c.backend.post(core.AttemptDone{Attempt: attempt, Outcome: answer.outcome,
-				Report: c.backend.cfg.Load().parseReport(answer.report), Value: core.Value{Body: answer.value}})
+		c.closeSilentSiblings(sentAt)
+	}
+	if attempt != nil {
+		c.backend.post(core.AttemptDone{Attempt: attempt, Outcome: answer.outcome,
+			Report: c.backend.cfg.Load().parseReport(answer.report), Value: core.Value{Body: answer.value}})
+	}
+	return nil
+}
+
+// takeAnswered removes the answered part from those in flight, and returns its attempt and when it was
+// written. The attempt is nil, and the time zero, if it was cancelled before.
+func (c *nodeConn) takeAnswered(id string) (attempt *core.Attempt, sentAt time.Time, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lastUsed = time.Now()
+	attempt = c.pending[id]
+	_, wasCancelled := c.abandoned[id]
+	switch {
+	case attempt != nil && !(wasCancelled && c.isQueued(attempt)):
+		if c.isQueued(attempt) {
+			return nil, time.Time{}, malformed("answer to a part that was not sent")
 		}
-		return nil
-	case '3', '4':
-		c.mu.Lock()
-		if len(c.probes) == 0 {
-			c.mu.Unlock()
-			return malformed("answer without a probe")
+		sentAt = c.writtenAt[id]
+		delete(c.pending, id)
+		delete(c.writtenAt, id)
+		if len(c.writtenAt) == 0 {
+			c.owedSince = time.Time{}
 		}
-		p := c.probes[0]
-		c.probes = c.probes[1:]
+		c.inFlight = c.countCalls()
+	case wasCancelled: // late: the attempt was cancelled
+		attempt = nil
+		delete(c.abandoned, id)
+	default: // if it duplicates an answer, the first one counts
+		return nil, time.Time{}, malformed("answer to an unknown part: %.100q", id)
+	}
+	if c.retired && len(c.pending) == 0 {
+		c.wakeWriter()
+	}
+	return attempt, sentAt, nil
+}
+
+// handleProbeReply reports the end of the oldest probe in flight, by the rest of the frame that answers it.
+func (c *nodeConn) handleProbeReply(text string) error {
+	c.mu.Lock()
+	if len(c.probes) == 0 {
 		c.mu.Unlock()
-		if string(rest) == "E" {
-			c.finishProbe(p, balance.Error, nil)
-		} else {
-			c.finishProbe(p, balance.OK, c.backend.cfg.Load().parseReport(string(rest)))
-		}
-		return nil
-	case 'X':
-		return fmt.Errorf("the node rejected a frame: %.100q", rest)
+		return malformed("answer without a probe")
 	}
-	return malformed("unknown frame type %q", b[0])
+	p := c.probes[0]
+	c.probes = c.probes[1:]
+	c.mu.Unlock()
+	if text == "E" {
+		c.finishProbe(p, balance.Error, nil)
+	} else {
+		c.finishProbe(p, balance.OK, c.backend.cfg.Load().parseReport(text))
+	}
+	return nil
 }
 
-// nodeAnswer is the parsed line of an answer and its value.
-type nodeAnswer struct {
-	id      string
-	outcome balance.Outcome
-	report  string
-	value   []byte
+// checkTrailing reports whether the frame that is complete at the start of the ring may be handled now, by
+// what stands behind it. An answer whose length is too small has the rest of its value behind it, and is
+// malformed. A sound one has another frame behind it, or bytes that cannot belong to a value.
+func (c *nodeConn) checkTrailing(in *lnet.Ring, size int) (ready bool, err error) {
+	var letter [1]byte
+	in.Peek(letter[:], frameLengthSize)
+	if letter[0] != letterAnswer {
+		return true, nil
+	}
+	end := frameLengthSize + size
+	var head [frameHeaderSize]byte
+	b := head[:in.Peek(head[:], end)]
+	kind := classifyTrailing(b)
+	if kind == trailingText || kind == trailingNoise {
+		b = make([]byte, in.Len()-end)
+		in.Peek(b, end)
+		kind = classifyTrailing(b)
+	}
+	switch {
+	case kind == trailingUnknown:
+		return false, nil
+	case kind == trailingText, kind == trailingNoise && c.mayHoldFrame(b):
+		return false, malformed("%d bytes behind an answer begin no frame: its length may be too small", len(b))
+	}
+	return true, nil
 }
 
-// parseAnswer parses `ID END SCORE REPORT` LF value.
-func parseAnswer(b []byte) (nodeAnswer, error) {
-	i := bytes.IndexByte(b, '\n')
-	if i < 0 {
-		return nodeAnswer{}, malformed("answer without a line end")
+// mayHoldFrame reports whether a frame that the node owes may be somewhere in bytes that begin with none.
+func (c *nodeConn) mayHoldFrame(b []byte) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.probes) > 0 { // answers to probes carry no id
+		return true
 	}
-	f := strings.SplitN(string(b[:i]), " ", 4) // a malformed report does not invalidate the answer
-	if len(f) != 4 || f[0] == "" {
-		return nodeAnswer{}, malformed("malformed answer line %.100q", b[:i])
+	for id := range c.pending {
+		if bytes.Contains(b, []byte(id)) {
+			return true
+		}
 	}
-	a := nodeAnswer{id: f[0], report: f[3], value: b[i+1:]}
-	switch f[1] {
-	case "S":
-		a.outcome = balance.OK
-	case "E":
-		a.outcome = balance.Error
-	case "B":
-		a.outcome = balance.Busy
-	default:
-		return nodeAnswer{}, malformed("unknown answer status %.20q", f[1])
+	for id := range c.abandoned {
+		if bytes.Contains(b, []byte(id)) {
+			return true
+		}
 	}
-	return a, nil
+	return false
 }
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -684,20 +684,22 @@
 	}
 }
 
-// Bytes behind a good answer don't affect it, and the connection gets no new parts. A malformed load
-// report affects neither.
+// Bytes behind a good answer that cannot be the rest of its value don't affect it, and the connection gets no
+// new parts. A malformed load report affects neither.
 func TestBytesBehindAGoodAnswer(t *testing.T) {
 	good := func(p standin.Part, report string) string {
 		line := "5" + p.ID + " S 1 " + report + "\nv:" + p.ID
 		return string(binary.LittleEndian.AppendUint32(nil, uint32(len(line)))) + line
 	}
+	const noise = "\xd8\x84\xe3`;\xc0\xa1\r\n\r\n"
 	for name, c := range map[string]struct {
 		answer func(p standin.Part) string
 		conns  int
 	}{
 		"a second copy":     {func(p standin.Part) string { return good(p, "-") + good(p, "-") }, 2},
 		"three bytes":       {func(p standin.Part) string { return good(p, "-") + "\x09\x00\x00" }, 2},
-		"noise":             {func(p standin.Part) string { return good(p, "-") + "xxxxxxxxxxxxxxxxxxxx" }, 2},
+		"noise":             {func(p standin.Part) string { return good(p, "-") + noise }, 2},
+		"twenty bytes":      {func(p standin.Part) string { return good(p, "-") + strings.Repeat("\xff", 20) }, 2},
 		"unreadable report": {func(p standin.Part) string { return good(p, "rps=\x00,, =;") }, 1},
 		"report of words":   {func(p standin.Part) string { return good(p, "all is well") }, 1},
 	} {
