Take no rest of a text for further fields of a new-form node's answer

Cause: what stands behind the field was read as fields, and fields that are not known were ignored. '8' and a digit are field 7 with a number; many other pairs pass too.

Change: fields that ledger.proto doesn't name may have the numbers 16 to 2047, whose tags no text begins with; others make the answer malformed, and so does a known field of Load that is of another type. ledger.proto reserves 7 to 15 (3 to 15 in Load), so that a newer service stays within that.

Why it works: a text's first byte under 0x80 is a tag of field 0 to 15, of which those that are known are not of kind text; a first byte from 0xc2 on is followed by one from 0x80 to 0xbf, which makes a field of 2048 or more.

Tests: TestTextWithTooSmallLengthIsNoAnswer failed before; TestAnswerWithFurtherFields holds that fields of a newer service go on being ignored.

--- a/internal/grpcnode/grpcnode_test.go
+++ b/internal/grpcnode/grpcnode_test.go
@@ -6,6 +6,7 @@
 	"crypto/x509"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -17,6 +18,7 @@
 
 	"github.com/bufbuild/protocompile"
 	"golang.org/x/net/http2"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/reflect/protoreflect"
 	"google.golang.org/protobuf/types/dynamicpb"
@@ -123,6 +125,47 @@
 	})
 }
 
+// appendText appends an answer's text field that states a length which is short by some bytes.
+func appendText(b []byte, text string, short int) []byte {
+	b = protowire.AppendTag(b, 2, protowire.BytesType)
+	b = protowire.AppendVarint(b, uint64(len(text)-short))
+	return append(b, text...)
+}
+
+// Guards against a text that is served cut, as its length is too small and the rest of it passes for fields.
+func TestTextWithTooSmallLengthIsNoAnswer(t *testing.T) {
+	random := rand.New(rand.NewPCG(47, 1))
+	texts := []string{"bd222490cbdc4c80", "daa868396f25cb52", "8a", "příjem", "účet 70 800,–", "!12345678",
+		"v2" + strings.Repeat("0", 60), "v2" + strings.Repeat("2", 2600)}
+	for range 2000 {
+		texts = append(texts, fmt.Sprintf("%016x", random.Uint64()))
+	}
+	for _, text := range texts {
+		for short := 1; short <= len(text); short++ {
+			a, err := ParseAnswer(appendText([]byte{0x08, 3}, text, short))
+			if err != nil {
+				continue
+			}
+			if value, reason := a.Value(3, 1<<16); reason == translate.None {
+				t.Fatalf("%.40q, short by %d: served as %.40q", text, short, value)
+			}
+		}
+	}
+}
+
+// A field that a newer service may have added does not spoil an answer.
+func TestAnswerWithFurtherFields(t *testing.T) {
+	for _, number := range []protowire.Number{16, 17, 100, 2047} {
+		b := appendText([]byte{0x08, 3}, "whole", 0)
+		b = protowire.AppendBytes(protowire.AppendTag(b, number, protowire.BytesType), []byte("more text"))
+		b = protowire.AppendVarint(protowire.AppendTag(b, number, protowire.VarintType), 77)
+		a, err := ParseAnswer(b)
+		if value, reason := a.Value(3, 64); err != nil || reason != translate.None || string(value) != "whole" {
+			t.Errorf("field %d: %q %v %v", number, value, reason, err)
+		}
+	}
+}
+
 func TestTimeoutText(t *testing.T) {
 	for d, want := range map[time.Duration]string{0: "1u", time.Second: "1000000u",
 		99 * time.Second:  "99000000u",
--- a/internal/grpcnode/message.go
+++ b/internal/grpcnode/message.go
@@ -57,8 +57,18 @@
 // errMalformed is the error for a message that cannot be decoded.
 var errMalformed = errors.New("malformed message")
 
-// walkFields calls f for each field of a message. f ignores unknown fields and returns false for malformed
-// ones.
+// Numbers that fields which ledger.proto does not name yet may have. The first two bytes of such a field's
+// tag are no UTF-8: no text begins with them, so the rest of a text whose length is too small is no further
+// field.
+const (
+	minFurtherField protowire.Number = 16
+	maxFurtherField protowire.Number = 2047
+)
+
+// isFurtherField reports whether a field that is not known here may be ignored.
+func isFurtherField(n protowire.Number) bool { return minFurtherField <= n && n <= maxFurtherField }
+
+// walkFields calls f for each field of a message. f returns false for malformed fields.
 func walkFields(b []byte, f func(n protowire.Number, t protowire.Type, v []byte, x uint64) bool) error {
 	for len(b) > 0 {
 		n, t, size := protowire.ConsumeTag(b)
@@ -94,8 +104,8 @@
 func ParseAnswer(b []byte) (translate.Answer, error) {
 	var a translate.Answer
 	err := walkFields(b, func(n protowire.Number, t protowire.Type, v []byte, x uint64) bool {
-		if w, known := answerWireTypes[n]; known && w != t {
-			return false
+		if w, known := answerWireTypes[n]; !known || w != t {
+			return !known && isFurtherField(n)
 		}
 		switch n {
 		case 1:
@@ -111,21 +121,28 @@
 			a.Kind = translate.Float
 		case 6:
 			a.HasReport = true
-			return walkFields(v, func(n protowire.Number, t protowire.Type, _ []byte, x uint64) bool {
-				switch {
-				case n == 1 && t == protowire.Fixed64Type:
-					a.Rate = math.Float64frombits(x)
-				case n == 2 && t == protowire.VarintType:
-					a.Waiting = uint32(x)
-				}
-				return true
-			}) == nil
+			return parseLoad(v, &a) == nil
 		}
 		return true
 	})
 	return a, err
 }
 
+// parseLoad decodes the load report of an answer.
+func parseLoad(b []byte, a *translate.Answer) error {
+	return walkFields(b, func(n protowire.Number, t protowire.Type, _ []byte, x uint64) bool {
+		switch {
+		case n == 1 && t == protowire.Fixed64Type:
+			a.Rate = math.Float64frombits(x)
+		case n == 2 && t == protowire.VarintType:
+			a.Waiting = uint32(x)
+		default:
+			return isFurtherField(n)
+		}
+		return true
+	})
+}
+
 // formatTimeout formats a grpc-timeout header: at most eight digits and a unit.
 func formatTimeout(d time.Duration) string {
 	us := max(1, d.Microseconds())
