Serve no value of a data node's frame that is not UTF-8

Cause: parseAnswer took the value as it came, and json.Marshal, which makes the reply, replaces what is no UTF-8 without an error. The front of old terminals makes its replies by the same function. The new form's nodes were checked already (translate.InvalidUTF8).

Change: an answer that says served, and whose value is no UTF-8, is malformed: its attempt has failed and may have run, and its connection ends. Checked where the answer is parsed, so that the module can ask elsewhere.

--- a/internal/legacyfront/front_test.go
+++ b/internal/legacyfront/front_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -408,3 +409,19 @@
 		t.Errorf("the module's StartBy became %v, want %v", repeat.StartBy, earlier)
 	}
 }
+
+// Guards against a value of an old-form node that is no UTF-8 and is served as another text.
+func TestValueOfNoiseIsNotServedToOldClients(t *testing.T) {
+	var first atomic.Bool
+	n := standin.NewNode(t, func(standin.Part) (string, string) {
+		if first.Swap(true) {
+			return "S", "whole"
+		}
+		return "S", "\xb5\xe2\xe2\xb0"
+	})
+	r := startFront(t, listenersTOML+classesTOML+serverTOML("a", n.Addr, "old", 0))
+	x := r.post(t, "rate-check", "", 0)
+	if x.Status != 200 || !strings.Contains(string(x.Body), `"body":"whole"`) || len(n.Parts()) != 2 {
+		t.Errorf("%d %.100q after %d attempts", x.Status, x.Body, len(n.Parts()))
+	}
+}
--- a/internal/platform/nodeframe.go
+++ b/internal/platform/nodeframe.go
@@ -142,6 +142,9 @@
 	a := nodeAnswer{id: f[0], report: f[3], value: b[i+1:]}
 	switch f[1] {
 	case "S":
+		if !utf8.Valid(a.value) { // a reply cannot carry it
+			return nodeAnswer{}, malformed("the value is not UTF-8")
+		}
 		a.outcome = balance.OK
 	case "E":
 		a.outcome = balance.Error
