Turn down a request whose text has half of a surrogate pair

A data node got a part with U+FFFD, which no client had sent, and the client 200.

Cause: encoding/json puts U+FFFD in the place of half a pair without an error, as it does with what is no UTF-8. The front looked for the latter alone.

Change: internal/jsontext.CheckUnicode looks for both, in the body of a request for any front of the platform's form; such a request gets 400.

--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -14,10 +14,10 @@
 	"strings"
 	"sync/atomic"
 	"time"
-	"unicode/utf8"
 
 	"lapislever/balance"
 	"lapislever/internal/core"
+	"lapislever/internal/jsontext"
 	lnet "lapislever/internal/net"
 )
 
@@ -224,8 +224,8 @@
 	}
 	q.Deadline = r.ReceivedAt.Add(wait)
 	var body queryBody
-	if !utf8.Valid(r.Body) { // decoding would replace invalid bytes, and the parts would carry the changed text
-		return fail(400, "the body is not UTF-8")
+	if err := jsontext.CheckUnicode(r.Body); err != nil { // the parts would carry another text
+		return fail(400, "the body is not as it should be: %v", err)
 	}
 	if err := json.Unmarshal(r.Body, &body); err != nil {
 		return fail(400, "the body is not as it should be: %v", err)
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -568,6 +568,7 @@
 		"too much mass": {"POST", "/rate-check", `{"slices":[{"slice":0,"mass":0.7},{"slice":1,"mass":0.7}]}`,
 			[][2]string{id}, 400},
 		"not UTF-8":       {"POST", "/rate-check", strings.Replace(good, `"f`, "\"\xff", 1), [][2]string{id}, 400},
+		"half a pair":     {"POST", "/rate-check", strings.Replace(good, `"f`, `"\ud83d`, 1), [][2]string{id}, 400},
 		"two ids":         {"POST", "/rate-check", good, [][2]string{id, {"X-Call-Id", "x2"}}, 400},
 		"budget below 0":  {"POST", "/rate-check", good, [][2]string{id, {"X-Budget", "-1"}}, 400},
 		"endless budget":  {"POST", "/rate-check", good, [][2]string{id, {"X-Budget", "Inf"}}, 400},
