Use no range-query reply whose text is not Unicode

The client got a series with U+FFFD in its labels, as 200 and without a warning; noise in an error's text came as 422 with U+FFFD.

Cause: encoding/json replaces such text without an error, and parseReply did not look.

Ruled out, by a trial on a scratch copy: what clients send here. The parser turns down an expression that is not UTF-8, and escapes of half pairs; "\xff" within quotes goes on as it came.

Change: parseReply asks jsontext.CheckUnicode first; such a reply is an error of the attempt, which the module may make elsewhere.

Tests: four rows of TestUnusableShardReplies failed before. TestLabelsOfAllTextsAreServed holds what is served.

--- a/internal/promql/front_test.go
+++ b/internal/promql/front_test.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"lapislever/internal/platform"
 	"lapislever/internal/standin"
@@ -160,6 +161,14 @@
 			"unavailable"},
 		"in conflict": {200, matrixReply(`{"metric":{"k":"1"},"values":[[0,"1"],[30,"3"]]}`), 503,
 			"unavailable"},
+		"noise in a label": {200, matrixReply("{\"metric\":{\"k\":\"\xb5\"},\"values\":[[0,\"1\"]]}"), 503,
+			"unavailable"},
+		"half a surrogate pair": {200, matrixReply(`{"metric":{"k":"\ud83d"},"values":[[0,"1"]]}`), 503,
+			"unavailable"},
+		"noise in an info": {200, strings.Replace(matrixReply(good), `"data"`, "\"infos\":[\"\xff\"],\"data\"", 1),
+			503, "unavailable"},
+		"noise in an error": {422, "{\"status\":\"error\",\"errorType\":\"execution\",\"error\":\"\xff\"}", 503,
+			"unavailable"},
 		"fewer samples":  {200, matrixReply(`{"metric":{"k":"1"},"values":[[0,"1"]]}`), 503, "unavailable"},
 		"cannot compute": {422, `{"status":"error","errorType":"execution","error":"no"}`, 422, "execution"},
 	} {
@@ -193,6 +202,9 @@
 	if status != 200 || !marked || !strings.Contains(body, other) {
 		t.Errorf("partial answer allowed: %d %s", status, body)
 	}
+	if strings.ContainsRune(body, utf8.RuneError) {
+		t.Errorf("the answer contains text that no server sent: %s", body)
+	}
 	if strings.Contains(body, `[45,`) || strings.Contains(body, `[30,"3"]`) {
 		t.Errorf("the answer contains a rejected sample: %s", body)
 	}
@@ -453,3 +465,19 @@
 		}
 	}
 }
+
+// Guards against sound series that are rejected beside the check for noise: labels of all texts come through.
+func TestLabelsOfAllTextsAreServed(t *testing.T) {
+	for _, label := range []string{"příjem", "\uFFFD", `\ud83d\ude00`, `\\ud83d`, `\u0000`} {
+		series := `{"metric":{"k":"` + label + `"},"values":[[0,"1"]]}`
+		addr := startAlone(t, nil, fixedServer(t, 200, matrixReply(series)))
+		status, _, body := queryRange(t, addr, `m`, "start=0&end=60&step=30")
+		var got, want envelope
+		if json.Unmarshal([]byte(body), &got) != nil || json.Unmarshal([]byte(matrixReply(series)), &want) != nil {
+			t.Fatal(body)
+		}
+		if status != 200 || got.Data.Result[0].Metric["k"] != want.Data.Result[0].Metric["k"] {
+			t.Errorf("%q: %d %s", label, status, body)
+		}
+	}
+}
--- a/internal/promql/series.go
+++ b/internal/promql/series.go
@@ -15,6 +15,8 @@
 	"github.com/prometheus/common/model"
 	"github.com/prometheus/prometheus/model/labels"
 	"github.com/prometheus/prometheus/promql/parser"
+
+	"lapislever/internal/jsontext"
 )
 
 // point is one sample of a series.
@@ -91,6 +93,9 @@
 // parseReply parses a server's reply to a query. A reply that is incomplete or does not fit the query is an
 // error.
 func parseReply(status int, body []byte, q *rangeQuery) (*shardResult, error) {
+	if err := jsontext.CheckUnicode(body); err != nil { // the client would get other labels
+		return nil, err
+	}
 	var e envelope
 	if err := json.Unmarshal(body, &e); err != nil {
 		return nil, fmt.Errorf("status %d, not a reply of the Prometheus API: %w", status, err)
