Count the time of a request sent ahead from its own arrival

Cause: the parser was given the time of the connection's last read for every request that it took out of the ring, so that later bytes put off the deadline of those before them.

Change: a connection notes when its bytes arrived, by position, and a request counts from the mark of its last byte.

--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -101,7 +101,7 @@
 	server *Server
 	raw    net.Conn // the socket
 	conn   net.Conn // the socket, or TLS over it
-	// mu guards in, readErr, lastRead, state, since, hadRequest, closing, requestBy, overrun,
+	// mu guards in, readErr, lastRead, arrivals, state, since, hadRequest, closing, requestBy, overrun,
 	// discarded, inputSince and noMemory.
 	mu              sync.Mutex
 	in, out         *Ring
@@ -110,6 +110,7 @@
 	wake            chan struct{}
 	readErr         error
 	lastRead        time.Time // when the last byte arrived
+	arrivals        arrivalMarks
 	inputSince      time.Time // when the ring was last empty before input arrived
 	noMemory        bool      // there is no memory for the rest of a request
 	state           connState
@@ -289,6 +290,7 @@
 			c.in.Commit(n)
 			if n > 0 {
 				c.lastRead = arrived
+				c.arrivals.add(n, arrived)
 			}
 			c.mu.Unlock()
 		}
@@ -360,7 +362,7 @@
 		var req *Request
 		var err error
 		if c.in.Len() >= missing.minBytes { // else the same bytes would be parsed again in vain
-			req, missing, err = c.parser.parse(c.in, c.lastRead)
+			req, missing, err = c.takeRequest()
 		}
 		readErr := c.readErr
 		if req != nil || missing.noMemory {
@@ -415,13 +417,22 @@
 	}
 }
 
+// takeRequest takes a complete request out of the ring. The caller holds mu.
+func (c *serverConn) takeRequest() (*Request, incomplete, error) {
+	req, missing, err := c.parser.parse(c.in)
+	if req != nil {
+		req.ReceivedAt = c.arrivals.take(c.in.Len())
+	}
+	return req, missing, err
+}
+
 // awaitMemory waits for the memory that a complete request needs, and then takes the request. It makes room
 // by evicting connections with incomplete requests; after the grace period the request is to be refused.
 func (c *serverConn) awaitMemory() (*Request, error) {
 	for waited := time.Duration(0); ; waited += fullRingPause {
 		c.mu.Lock()
 		c.parser.withoutBody = waited > gracePeriod
-		req, _, err := c.parser.parse(c.in, c.lastRead)
+		req, _, err := c.takeRequest()
 		c.mu.Unlock()
 		if req != nil || err != nil {
 			return req, err
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -90,7 +90,7 @@
 		var parser requestParser
 		for i := range len(in) {
 			_, _ = ring.Write([]byte{in[i]})
-			q, _, err := parser.parse(ring, time.Time{})
+			q, _, err := parser.parse(ring)
 			if last := i == len(in)-1; err != nil || (q != nil) != last {
 				t.Fatalf("%q after %d bytes: %v %v", in, i+1, q, err)
 			} else if last {
@@ -130,7 +130,7 @@
 		head + "X: " + strings.Repeat("y", MaxHead+1) + "\r\n\r\n":              431,
 	} {
 		var b *BadMessage
-		q, _, err := new(requestParser).parse(ringWith(in), time.Time{})
+		q, _, err := new(requestParser).parse(ringWith(in))
 		if q != nil || !errors.As(err, &b) || b.Status != status {
 			t.Errorf("%.60q: %v %v, want %d", in, q, err, status)
 		}
@@ -146,7 +146,7 @@
 		if _, err := ring.Write(in); err != nil {
 			return
 		}
-		q, _, err := new(requestParser).parse(ring, time.Time{})
+		q, _, err := new(requestParser).parse(ring)
 		var b *BadMessage
 		if err != nil && (!errors.As(err, &b) || b.Status < 400) || q != nil && ring.Len() >= len(in) {
 			t.Fatalf("%v %v, %d of %d bytes left", q, err, ring.Len(), len(in))
--- a/internal/net/requestparser.go
+++ b/internal/net/requestparser.go
@@ -9,7 +9,6 @@
 	"net/textproto"
 	"strconv"
 	"strings"
-	"time"
 )
 
 const (
@@ -50,9 +49,9 @@
 	expectContinue bool
 }
 
-// parse removes one complete request from the ring. It returns a nil request while it is incomplete. The same
-// parser has to be used until a request is complete.
-func (p *requestParser) parse(in *Ring, at time.Time) (req *Request, missing incomplete, err error) {
+// parse removes one complete request from the ring, and does not tell when it arrived. It returns a nil
+// request while it is incomplete. The same parser has to be used until a request is complete.
+func (p *requestParser) parse(in *Ring) (req *Request, missing incomplete, err error) {
 	if p.head.size == 0 {
 		if err := p.findHead(in); err != nil || p.head.size == 0 {
 			return nil, missing, err
@@ -81,7 +80,6 @@
 	if req == nil {
 		return nil, incomplete{minBytes: size, noMemory: true}, nil
 	}
-	req.ReceivedAt = at
 	*p = requestParser{}
 	return req, incomplete{}, nil
 }
--- a/internal/net/requestparser_test.go
+++ b/internal/net/requestparser_test.go
@@ -6,7 +6,6 @@
 	"runtime"
 	"strings"
 	"testing"
-	"time"
 )
 
 // shortFields returns n lines of header fields, as short as they can be.
@@ -22,7 +21,7 @@
 func TestFieldsOfAHeadAreLimited(t *testing.T) {
 	for fields, status := range map[int]int{maxFields - 1: 0, maxFields: 431, 3000: 431} {
 		in := "GET /up HTTP/1.1\r\nHost: x\r\n" + shortFields(fields) + "\r\n"
-		r, _, err := new(requestParser).parse(ringWith(in), time.Time{})
+		r, _, err := new(requestParser).parse(ringWith(in))
 		var bad *BadMessage
 		switch errors.As(err, &bad); {
 		case status == 0 && r == nil:
@@ -64,7 +63,7 @@
 				for i := range len(in) {
 					_, _ = ring.Write([]byte{in[i]})
 					var err error
-					if r, _, err = parser.parse(ring, time.Time{}); err != nil || r != nil && i < len(in)-1 {
+					if r, _, err = parser.parse(ring); err != nil || r != nil && i < len(in)-1 {
 						t.Fatalf("after %d bytes: %v %v", i+1, r, err)
 					}
 				}
