Turn down range queries whose regular expressions take long to compile

One matcher with 19,000 times \pL took 50 s, and 1 GB was allocated in it (a trial); ranges of characters beyond ASCII took 20 to 48 s.

Cause: the parser compiles each matcher as it reads it, and nothing bounded what that takes: maxTokens passes over what stands in braces.

Change: checkRegexes goes over the tokens of the expression before the parser does.

--- a/internal/promql/query.go
+++ b/internal/promql/query.go
@@ -108,6 +108,9 @@
 		return nil, badParameter("query", fmt.Errorf("the expression has more than %d operators, names and numbers",
 			maxTokens))
 	}
+	if err := checkRegexes(v.Get("query")); err != nil {
+		return nil, badParameter("query", err)
+	}
 	expr, err := parser.NewParser(parser.Options{}).ParseExpr(v.Get("query"))
 	if err != nil {
 		return nil, badParameter("query", err)
