Let large requests of one front not wait for another front's

Cause: one place for a large request, in the budget that all fronts share, was held while a front's handler was at work. Whoever waits for it has no timer and is not known to the core.

Change: each server has a place of its own.

--- a/internal/net/budget.go
+++ b/internal/net/budget.go
@@ -17,9 +17,6 @@
 	// free size and a small request.
 	connMemory = 24 << 10
 	minClients = 32 // connections that are allowed however little memory there is
-	// maxLargeRequests bounds how many large requests are being handled at the same moment: that takes processor
-	// time and memory, and small ones must not wait for all of them.
-	maxLargeRequests = 1
 )
 
 // Budget limits the file descriptors shared by client and server connections, the number of client
@@ -32,13 +29,12 @@
 	maxOverflow               atomic.Int64 // connections allowed beyond the budget, each only to be refused
 	maxClients                atomic.Int64 // client connections that the memory allows
 	inputMemory               memoryLimit
-	largeRequests             chan struct{}                 // holds one for each large request being handled
 	evictors                  atomic.Pointer[[]func() bool] // one per server: evicts an idle connection
 }
 
 // NewBudget returns a budget of capacity descriptors, of which clients cannot use the reserved ones.
 func NewBudget(capacity, reserved int) *Budget {
-	b := &Budget{largeRequests: make(chan struct{}, maxLargeRequests)}
+	b := &Budget{}
 	b.SetLimits(capacity, reserved, max(2, min(MaxOverflow, capacity/4)))
 	b.maxClients.Store(math.MaxInt32)
 	b.inputMemory.setSize(maxInputMemory)
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -537,11 +537,11 @@
 	large := len(req.Body) > freeRingSize
 	if large {
 		c.releaseRing()
-		c.server.budget.largeRequests <- struct{}{}
+		c.server.largeRequests <- struct{}{}
 	}
 	onDisconnect := c.server.handle(req, x)
 	if req.Body = nil; large { // the handler has taken what it needs
-		<-c.server.budget.largeRequests
+		<-c.server.largeRequests
 	}
 	c.signal() // the wake-up for an end of stream that came with the request may have been consumed already
 	rejected := false
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -76,10 +76,17 @@
 	lastRequest atomic.Int64 // when the last request was taken, in nanoseconds since startedAt
 	overflow    atomic.Int64 // open connections beyond the budget, each only to be refused
 	discards    discardLimit
+	// largeRequests holds one for each large request that the handler is at work on. Another server's handler
+	// may take longer, so that each server has its own.
+	largeRequests chan struct{}
 	// lastInputEviction is when a connection was last sought to free memory, in nanoseconds since startedAt.
 	lastInputEviction atomic.Int64
 }
 
+// maxLargeRequests bounds how many large requests a server handles at the same moment: that takes processor
+// time and memory, and small ones must not wait for all of them.
+const maxLargeRequests = 1
+
 // evictionInterval is the time between two searches for a connection to evict for memory.
 const evictionInterval = time.Millisecond
 
@@ -112,7 +119,7 @@
 // NewServer returns a server on an existing listener.
 func NewServer(l net.Listener, budget *Budget, log *slog.Logger, h Handler) *Server {
 	s := &Server{listener: l, handle: h, budget: budget, log: log, conns: map[*serverConn]struct{}{},
-		startedAt: time.Now()}
+		startedAt: time.Now(), largeRequests: make(chan struct{}, maxLargeRequests)}
 	budget.addEvictor(func() bool { return s.evict(rankFresh) })
 	return s
 }
