End an AJP connection whose next packet begins and does not come to its end

Cause: after its first request a connection had idleTimeout for the next packet as a whole. Nothing told a silent connection from one that had begun a packet.

Change: readLoop waits for a packet's first byte without a limit, and from then on the packet has requestTimeout. Where a request is in progress the time begins anew, as its reply must not be lost for what comes behind it. That a packet has begun is counted at its first byte, not at the end of its header, and by a number: the flag of before was set back after a reply, also where the next packet had begun by then, so that an idle close could cut it (by reading; no test).

Tests: TestStartedPacketHasToComeToItsEnd failed before. TestPacketBegunAheadDoesNotEndARequest too, by its end; that the reply is not lost held before as well. TestClosedIdleConnectionReleasesSlot asks for the same state by its new names. Measured: go test -race ./internal/ajp ./internal/legacyfront passed.

--- a/internal/ajp/ajp_test.go
+++ b/internal/ajp/ajp_test.go
@@ -311,7 +311,7 @@
 			for c := range x.server.conns {
 				c.mu.Lock()
 				defer c.mu.Unlock()
-				return !c.inPacket && !c.busy.Load()
+				return c.unreceived == 0 && !c.busy
 			}
 			return false
 		})
@@ -341,3 +341,58 @@
 		standin.WaitFor(t, "the release of its memory", func() bool { return budget.InputMemoryInUse() == 0 })
 	}
 }
+
+// Guards against a connection that has served a request, stops within its next packet, and is neither
+// answered nor closed for as long as a silent one may stay.
+func TestStartedPacketHasToComeToItsEnd(t *testing.T) {
+	request := standin.AJPPacket(validForward())
+	for name, sent := range map[string][]byte{
+		"one byte":       request[:1],
+		"the header":     request[:headerSize],
+		"half a request": request[:len(request)/2],
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			x := startEcho(t, Options{}, lnet.NewBudget(10, 0))
+			a := standin.DialAJP(t, x.server.Addr())
+			if r, err := a.Do("/echo", nil, "x"); err != nil || r.Status != 200 {
+				t.Fatalf("%+v, %v", r, err)
+			}
+			begun := time.Now()
+			a.WriteRaw(sent)
+			standin.WaitFor(t, "the connection to close", func() bool { return x.server.OpenConns() == 0 })
+			if took := time.Since(begun); took < requestTimeout {
+				t.Errorf("closed after %v, before its time", took)
+			}
+			if n, _ := x.count(); n != 1 {
+				t.Errorf("%d requests", n)
+			}
+		})
+	}
+}
+
+// Guards against a reply that is lost for what came behind its request: the time of a packet that was begun
+// ahead does not end the request in progress.
+func TestPacketBegunAheadDoesNotEndARequest(t *testing.T) {
+	exchanges := make(chan *lnet.Exchange, 1)
+	s, err := Listen("127.0.0.1:0", Options{}, lnet.NewBudget(10, 0), standin.DiscardLogger(),
+		func(_ *lnet.Request, x *lnet.Exchange) func() {
+			exchanges <- x
+			return func() { t.Error("the request was abandoned") }
+		})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go s.Serve()
+	t.Cleanup(func() { s.StopListening(); s.Drain() })
+	a := standin.DialAJP(t, s.Addr())
+	request := standin.AJPPacket(standin.AJPRequest(2, "/x", nil))
+	a.WriteRaw(append(bytes.Clone(request), request[:1]...))
+	x := <-exchanges
+	time.Sleep(requestTimeout + 200*time.Millisecond) // until the packet's time is over
+	x.Reply(lnet.Response{Status: 200, Body: []byte("y")})
+	if r, err := a.ReadReply(nil); err != nil || r.Status != 200 {
+		t.Errorf("%+v, %v", r, err)
+	}
+	standin.WaitFor(t, "the connection to close", func() bool { return s.OpenConns() == 0 })
+}
--- a/internal/ajp/server.go
+++ b/internal/ajp/server.go
@@ -14,6 +14,7 @@
 	"math"
 	"net"
 	"net/textproto"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -170,12 +171,12 @@
 	netConn    net.Conn
 	packets    chan packet
 	done       chan struct{} // closed when serve or reject has ended
-	busy       atomic.Bool   // a request is in progress
 	hasSlot    bool          // holds a slot of the budget
 	admitted   lnet.AdmittedConn
-	mu         sync.Mutex // guards inPacket and closedIdle
 	reserved   int        // bytes of the limit on input, for the request's body; used by serve only
-	inPacket   bool       // part of a packet has been read, and it is not handled yet
+	mu         sync.Mutex // guards unreceived, busy and closedIdle
+	unreceived int        // packets of which a part has been read, and that serve has not received
+	busy       bool       // a packet is being handled, or a request is in progress
 	closedIdle bool
 }
 
@@ -183,7 +184,7 @@
 func (c *conn) closeIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.inPacket || c.busy.Load() {
+	if c.unreceived > 0 || c.busy {
 		return false
 	}
 	c.closedIdle = true
@@ -191,15 +192,38 @@
 	return true
 }
 
-// setInPacket records whether a packet is in progress. It returns false once closeIfIdle has closed the
-// connection.
-func (c *conn) setInPacket(inPacket bool) bool {
+// beginPacket records that the first byte of a packet has been read. It returns false once closeIfIdle has
+// closed the connection.
+func (c *conn) beginPacket() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.inPacket = inPacket
+	c.unreceived++
 	return !c.closedIdle
 }
 
+// receivePacket records that serve has received a packet, which it handles now.
+func (c *conn) receivePacket(p packet) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p.started {
+		c.unreceived--
+	}
+	c.busy = p.err == nil
+}
+
+// endExchange records that a packet, or the exchange that it began, has been handled.
+func (c *conn) endExchange() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = false
+}
+
+func (c *conn) isBusy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.busy
+}
+
 // reject answers the first request of a connection that is not admitted with 503, and closes the connection.
 func (c *conn) reject(retryAfter time.Duration) {
 	defer func() {
@@ -222,22 +246,8 @@
 // readLoop reads packets one at a time: it reads the next only after the previous one was received from
 // c.packets.
 func (c *conn) readLoop() {
-	var header [headerSize]byte
 	for {
-		n, err := io.ReadFull(c.netConn, header[:])
-		p := packet{err: err, started: n > 0}
-		if !c.setInPacket(n > 0) {
-			p.err = net.ErrClosed // closeIfIdle has closed the connection; serve releases its slot
-		} else if err == nil {
-			var size int
-			if size, p.err = PayloadSize(header[:], c.server.options.PacketSize); p.err == nil {
-				p.payload = make([]byte, size)
-				_, p.err = io.ReadFull(c.netConn, p.payload)
-			}
-		}
-		if p.started && (errors.Is(p.err, io.EOF) || errors.Is(p.err, io.ErrUnexpectedEOF)) {
-			p.err = protocolError("truncated packet")
-		}
+		p := c.readPacket()
 		select {
 		case c.packets <- p:
 		case <-c.done:
@@ -249,12 +259,70 @@
 	}
 }
 
+// readPacket reads one packet. It waits for its first byte without a limit, as a proxy may be silent for
+// long.
+func (c *conn) readPacket() packet {
+	var header [headerSize]byte
+	if _, err := io.ReadFull(c.netConn, header[:1]); err != nil {
+		return packet{err: err}
+	}
+	p := packet{started: true}
+	if !c.beginPacket() {
+		p.err = net.ErrClosed // closeIfIdle has closed the connection; serve releases its slot
+		return p
+	}
+	rest := &packetReader{conn: c, deadline: time.Now().Add(requestTimeout)}
+	p.payload, p.err = c.readPayload(rest, header)
+	if errors.Is(p.err, io.EOF) || errors.Is(p.err, io.ErrUnexpectedEOF) {
+		p.err = protocolError("truncated packet")
+	}
+	_ = c.netConn.SetReadDeadline(time.Time{})
+	return p
+}
+
+// readPayload reads the rest of a packet's header, whose first byte is there, and its payload.
+func (c *conn) readPayload(rest io.Reader, header [headerSize]byte) ([]byte, error) {
+	if _, err := io.ReadFull(rest, header[1:]); err != nil {
+		return nil, err
+	}
+	size, err := PayloadSize(header[:], c.server.options.PacketSize)
+	if err != nil {
+		return nil, err
+	}
+	payload := make([]byte, size)
+	_, err = io.ReadFull(rest, payload)
+	return payload, err
+}
+
+// packetReader reads the rest of a packet that has begun. It fails where the packet does not come to its end
+// in time, unless a request is in progress: that is not lost for what comes behind it.
+type packetReader struct {
+	conn     *conn
+	deadline time.Time
+}
+
+// Read reads from the connection.
+func (r *packetReader) Read(b []byte) (int, error) {
+	for {
+		_ = r.conn.netConn.SetReadDeadline(r.deadline)
+		n, err := r.conn.netConn.Read(b)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		if !r.conn.isBusy() {
+			return 0, protocolError("a packet did not come to its end in time")
+		}
+		r.deadline = time.Now().Add(requestTimeout)
+	}
+}
+
 // nextPacket waits for the next packet's payload. It returns errTimeout if none arrives within timeout.
 func (c *conn) nextPacket(timeout time.Duration) ([]byte, error) {
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
 	case p := <-c.packets:
+		c.receivePacket(p)
 		return p.payload, p.err
 	case <-timer.C:
 		return nil, errTimeout
@@ -279,13 +347,11 @@
 		payload, err := c.nextPacket(timeout)
 		timeout = idleTimeout
 		if err == nil {
-			c.busy.Store(true)
 			c.admitted.MarkBusy()
 			err = c.handlePacket(payload)
 			c.server.budget.ReleaseInput(c.reserved)
 			c.reserved = 0
-			c.setInPacket(false)
-			c.busy.Store(false)
+			c.endExchange()
 			c.admitted.MarkIdle()
 		}
 		switch {
