Read all that has come from a data node before an answer is judged

Seen (by reading): whether an answer has more behind it was asked only where a read had filled its buffer.

Change: behind each read the connection is read again until nothing waits, by reads that don't block (RetryingReader.ReadWaiting). That replaces the look by poll(2).

Tests: TestReadWaitingTakesWhatAShortReadLeft; TestRestOfTheValueBehindAFullRead holds as before. Measured: the tests of spoilt answers passed with -race.

--- a/internal/net/http.go
+++ b/internal/net/http.go
@@ -274,7 +274,7 @@
 func (c *Client) Write(method, target, host string, header [][2]string, body []byte,
 	deadline time.Time) error {
 	c.reusable = false
-	if c.in.Len() > 0 || HasInput(c.conn) {
+	if c.in.Len() > 0 || hasInput(c.conn) {
 		return ErrUnsolicited
 	}
 	_ = c.conn.SetDeadline(deadline)
--- a/internal/net/socket.go
+++ b/internal/net/socket.go
@@ -181,9 +181,9 @@
 	return pollNow(fd, unix.POLLRDHUP, poll)&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 }
 
-// HasInput reports whether bytes, the end of the stream or an error wait to be read from a connection. It
+// hasInput reports whether bytes, the end of the stream or an error wait to be read from a connection. It
 // does not block, and returns false if the kernel cannot tell.
-func HasInput(c net.Conn) bool {
+func hasInput(c net.Conn) bool {
 	raw := rawConn(c)
 	if raw == nil {
 		return false
--- a/internal/net/socket_test.go
+++ b/internal/net/socket_test.go
@@ -191,3 +191,28 @@
 		}
 	}
 }
+
+// What a short read has left in the socket is read without waiting, and nothing is waited for.
+func TestReadWaitingTakesWhatAShortReadLeft(t *testing.T) {
+	w, client := replyPair(t)
+	if _, err := client.Write([]byte("abc")); err != nil {
+		t.Fatal(err)
+	}
+	reader := NewRetryingReader(w.conn)
+	b := make([]byte, 8)
+	if n, err := reader.Read(b[:1]); n != 1 || err != nil {
+		t.Fatal(n, err)
+	}
+	if n := reader.ReadWaiting(b); string(b[:n]) != "bc" {
+		t.Errorf("%q", b[:n])
+	}
+	if n := reader.ReadWaiting(b); n != 0 {
+		t.Errorf("%q, and nothing was sent", b[:n])
+	}
+	if err := client.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if n, err := reader.Read(b); n != 0 || err == nil {
+		t.Errorf("%d %v behind the end", n, err)
+	}
+}
--- a/internal/net/transient.go
+++ b/internal/net/transient.go
@@ -48,17 +48,34 @@
 // RetryingReader reads from a connection and retries reads that fail transiently. It is not safe for
 // concurrent use.
 type RetryingReader struct {
-	Conn     net.Conn
+	conn     net.Conn
+	raw      syscall.RawConn // nil: not a plain kernel socket
 	failures transientFailures
 }
 
+// NewRetryingReader returns a reader for a connection.
+func NewRetryingReader(c net.Conn) *RetryingReader { return &RetryingReader{conn: c, raw: rawConn(c)} }
+
 // Read reads once from the connection, retrying transient failures.
 func (r *RetryingReader) Read(b []byte) (int, error) {
 	for {
-		n, err := r.Conn.Read(b)
-		if n > 0 || err == nil || !r.failures.retry(r.Conn, err) {
+		n, err := r.conn.Read(b)
+		if n > 0 || err == nil || !r.failures.retry(r.conn, err) {
 			r.failures.reset()
 			return n, err
 		}
 	}
 }
+
+// ReadWaiting reads once what has come on the connection, and does not wait for more. It returns 0 if nothing
+// has, or if the read fails: the next Read tells how.
+func (r *RetryingReader) ReadWaiting(b []byte) (n int) {
+	if r.raw == nil {
+		return 0
+	}
+	_ = r.raw.Read(func(fd uintptr) (done bool) {
+		n, _ = read(int(fd), b)
+		return true
+	})
+	return n
+}
--- a/internal/platform/noderead.go
+++ b/internal/platform/noderead.go
@@ -27,18 +27,18 @@
 // malformed answer are meaningless, so it ends the connection.
 func (c *nodeConn) readLoop(conn net.Conn) {
 	in := lnet.NewRing(maxBuffered)
-	reader := &lnet.RetryingReader{Conn: conn}
+	reader := lnet.NewRetryingReader(conn)
 	partial := false // the ring holds an incomplete frame
 	for {
-		free := in.Free()
-		count, err := reader.Read(free)
+		count, err := reader.Read(in.Free())
 		in.Commit(count)
 		if count > 0 {
 			c.noteReceived()
 		}
 		// What stands behind a frame decides whether it is sound, so all that has come is read first.
-		if err == nil && count == len(free) && in.Len() < maxBuffered && lnet.HasInput(conn) {
-			continue
+		for count > 0 && in.Len() < maxBuffered {
+			count = reader.ReadWaiting(in.Free())
+			in.Commit(count)
 		}
 		consumed := in.Len()
 		if frameErr := c.handleFrames(in); frameErr != nil {
