Soak: spoil answers of data nodes, and compare what clients are served

The soak looked at when requests are answered, and never at what with. Its data nodes now spoil 4 in 100 answers: a length too small, a value of noise, a frame cut short, a second copy, noise behind a sound answer. Each answer of 200 has to hold the values that the nodes make.

--- a/internal/rig/soak_test.go
+++ b/internal/rig/soak_test.go
@@ -1,6 +1,7 @@
 package rig
 
 import (
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -99,6 +100,7 @@
 	sent, ended  time.Time
 	budget       time.Duration
 	status       int
+	body         string
 	firstOnConn  bool // the first request on its connection
 	disconnected bool // the client closed the connection before the answer
 	err          error
@@ -172,7 +174,7 @@
 		q.err, fresh = err, false
 		q.disconnected = disconnects && isTimeout(err)
 		if err == nil {
-			q.status = reply.Status
+			q.status, q.body = reply.Status, string(reply.Body)
 		}
 		if err != nil || !c.Reusable() {
 			c.Close()
@@ -219,6 +221,8 @@
 			time.Duration(d) * time.Millisecond})
 	}
 	switch n := rand.IntN(100); {
+	case n < 4:
+		return standin.RawReply, spoiltAnswer(p, rand.IntN(spoiltKinds))
 	case n < 8:
 		return "", ""
 	case n < 13:
@@ -231,6 +235,29 @@
 	return "S", "v:" + p.ID
 }
 
+// spoiltKinds is the number of kinds of spoiltAnswer.
+const spoiltKinds = 5
+
+// spoiltAnswer returns an answer that is spoilt, or that is sound and has more behind it.
+func spoiltAnswer(p standin.Part, kind int) string {
+	frame := func(value string, short int) string {
+		body := "5" + p.ID + " S 1 -\n" + value
+		return string(binary.LittleEndian.AppendUint32(nil, uint32(len(body)-short))) + body
+	}
+	sound := frame("v:"+p.ID, 0)
+	switch kind {
+	case 0:
+		return frame("v:"+p.ID, 1+rand.IntN(len(p.ID)))
+	case 1:
+		return frame("\xb5\xe2\xe2"+p.ID, 0)
+	case 2:
+		return sound[:len(sound)-1-rand.IntN(8)]
+	case 3:
+		return sound + sound
+	}
+	return sound + "\xd8\x84\xe3`;\xc0\xa1\r\n"
+}
+
 // partDeadline is the remaining time that a part announced to a data node.
 type partDeadline struct {
 	part      string
@@ -270,6 +297,12 @@
 	s.done.Store(true)
 }
 
+// soakBody returns the reply to a request that is served: its parts' values as the data nodes make them.
+func soakBody(id string) string {
+	const form = `{"entire":true,"items":[{"slice":0,"body":"v:%s.0"},{"slice":1,"body":"v:%s.1"}]}`
+	return fmt.Sprintf(form, id, id)
+}
+
 // check checks every request against the rules.
 func (s *soak) check() {
 	late := 0
@@ -280,6 +313,9 @@
 		case q.disconnected:
 			end = end.Add(disconnectGrace)
 		case q.err == nil:
+			if want := soakBody(q.id); q.status == 200 && q.body != want {
+				s.t.Errorf("seed %d: %s was served %.200q, not %q", s.seed, q.id, q.body, want)
+			}
 			if q.ended.Sub(q.sent) > q.budget+replySlack+deliverySlack {
 				s.t.Errorf("seed %d: %s was answered after %v of %v", s.seed, q.id, q.ended.Sub(q.sent), q.budget)
 			}
