Go on elsewhere when a node turns a part away, whatever stands behind its answer

Cause: what stands behind an answer was judged for every answer. But one that serves nothing and has no value has nothing that could be cut: a length that is too small cuts its line, and the answer is malformed by that.

Change: such an answer (B, E) counts whatever is behind it, as it did. The connection ends behind it as before.

--- a/internal/platform/answerend_test.go
+++ b/internal/platform/answerend_test.go
@@ -168,3 +168,31 @@
 		t.Errorf("keys %v", keys)
 	}
 }
+
+// Guards against a part that a node has turned away, and that counts as one that may have run for what stands
+// behind the answer: where nothing may be repeated, no other node would be asked. An error may have run, and
+// is not repeated.
+func TestAnswerWithoutValueIsSoundWhateverIsBehindIt(t *testing.T) {
+	for name, behind := range map[string]string{"nothing": "", "text": strings.Repeat("x", 20),
+		"two bytes": "ab", "noise": "\xd8\x84\xe3`;\xc0\xa1\r\n"} {
+		for end, want := range map[string]struct{ status, attempts int }{
+			"B": {http.StatusOK, 2}, "E": {http.StatusBadGateway, 1}} {
+			var first atomic.Bool
+			answer := func(p standin.Part) (string, string) {
+				if first.Swap(true) {
+					return "S", "whole"
+				}
+				line := "5" + p.ID + " " + end + " 1 -\n"
+				return standin.RawReply, string(binary.LittleEndian.AppendUint32(nil, uint32(len(line)))) + line + behind
+			}
+			a, b := standin.NewNode(t, answer), standin.NewNode(t, answer)
+			k := startReady(t, testConfig(t, newDiscovery(t, hostAt("a", a.Addr, 0), hostAt("b", b.Addr, 0)),
+				`"idempotency":"read_like"`, `"idempotency":"non_idempotent"`))
+			r := post(t, k, "rate-check", 0)
+			if attempts := len(a.Parts()) + len(b.Parts()); r.Status != want.status || attempts != want.attempts {
+				t.Errorf("%s with %s behind it: %d after %d attempts, want %+v", end, name, r.Status, attempts, want)
+			}
+			k.Close()
+		}
+	}
+}
--- a/internal/platform/nodeframe.go
+++ b/internal/platform/nodeframe.go
@@ -121,6 +121,15 @@
 	return true
 }
 
+// hasNoValue reports whether the frame that ends at an offset in the ring is an answer that serves nothing
+// and has no value. Its length is right whatever is behind it: one that is too small would cut its line.
+func hasNoValue(in *lnet.Ring, end int) bool {
+	b := make([]byte, min(end-frameHeaderSize, maxLine+1)) // a longer one has a value
+	in.Peek(b, frameHeaderSize)
+	answer, err := parseAnswer(b)
+	return err == nil && answer.outcome != balance.OK && frameHeaderSize+len(b) == end && len(answer.value) == 0
+}
+
 // nodeAnswer is the parsed line of an answer and its value.
 type nodeAnswer struct {
 	id      string
--- a/internal/platform/noderead.go
+++ b/internal/platform/noderead.go
@@ -252,10 +252,10 @@
 func (c *nodeConn) checkTrailing(in *lnet.Ring, size int) (ready bool, err error) {
 	var letter [1]byte
 	in.Peek(letter[:], frameLengthSize)
-	if letter[0] != letterAnswer {
+	end := frameLengthSize + size
+	if letter[0] != letterAnswer || in.Len() == end || hasNoValue(in, end) {
 		return true, nil
 	}
-	end := frameLengthSize + size
 	var head [frameHeaderSize]byte
 	b := head[:in.Peek(head[:], end)]
 	kind := classifyTrailing(b)
